Move control host, subscription, routing and database watch into pure cores

Cause: these decisions stood in the daemon's shell, between sockets, where no fuzzer can reach them.

Change: lib/control (control host, subscriber), lib/route (entry to dispatcher), lib/dispatch/group (watch over databases). The daemon now only owns sockets and carries out actions.

Ruled out: a fake network below the shells; it would test GLib more than the decisions.

Conclusion: the cores can now run together under a virtual clock.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -9,36 +9,53 @@
   return gm_now (daemon->clock);
 }
 
+LkLink *
+daemon_link (const Daemon *daemon, guint64 number)
+{
+  return g_hash_table_lookup (daemon->links, GSIZE_TO_POINTER (number));
+}
+
+static guint64
+number_of (const Daemon *daemon, LkLink *link)
+{
+  return GPOINTER_TO_SIZE (g_hash_table_lookup (daemon->numbers, link));
+}
+
 static void
 link_up (LkLink *link, void *owner)
 {
-  (void)link;
-  (void)owner;
+  Daemon *daemon = owner;
+  gpointer number = GSIZE_TO_POINTER (++daemon->next_link);
+  g_hash_table_insert (daemon->links, number, link);
+  g_hash_table_insert (daemon->numbers, link, number);
 }
 
 static void
 link_message (LkLink *link, const WmMessage *m, void *owner)
 {
   Daemon *daemon = owner;
+  guint64 number = number_of (daemon, link);
   if (m->type == WM_TYPE_EXEC)
     {
       if (daemon->dispatcher != NULL)
-        dispatcher_message (daemon->dispatcher, link, m);
+        dispatcher_message (daemon->dispatcher, number, m);
     }
   else if (daemon->control != NULL)
-    control_message (daemon->control, link, m);
+    control_message (daemon->control, number, link, m);
 }
 
 static void
 link_down (LkLink *link, void *owner)
 {
   Daemon *daemon = owner;
-  if (lk_peer (link) != NULL)
-    gm_log (GM_EV_LINK_DOWN, "link with %s", lk_peer (link));
-  if (daemon->dispatcher != NULL)
-    dispatcher_link_down (daemon->dispatcher, link);
+  guint64 number = number_of (daemon, link);
+  if (number == 0)
+    return;
+  gm_log (GM_EV_LINK_DOWN, "link with %s", lk_peer (link));
+  g_hash_table_remove (daemon->links, GSIZE_TO_POINTER (number));
+  g_hash_table_remove (daemon->numbers, link);
   if (daemon->control != NULL)
-    control_link_down (daemon->control, link);
+    control_link_down (daemon->control, number);
 }
 
 static const LkHandler link_handler
@@ -122,6 +139,8 @@
   daemon->settings = settings;
   daemon->clock = gm_clock_system ();
   daemon->loop = g_main_loop_new (NULL, FALSE);
+  daemon->links = g_hash_table_new (NULL, NULL);
+  daemon->numbers = g_hash_table_new (NULL, NULL);
   daemon->identity = (LkIdentity){ .host = settings->host,
                                    .incarnation = (guint64)g_get_real_time (),
                                    .key = settings->cluster_key };
@@ -142,6 +161,8 @@
   dispatcher_free (daemon->dispatcher);
   subscription_free (daemon->subscription);
   control_free (daemon->control);
+  g_hash_table_unref (daemon->links);
+  g_hash_table_unref (daemon->numbers);
   g_main_loop_unref (daemon->loop);
   g_free (daemon);
 }
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -18,6 +18,9 @@
   const GmClock *clock;
   LkIdentity identity;
   LkServer *server;
+  GHashTable *links;   /* number -> LkLink, the accepted ones that are up */
+  GHashTable *numbers; /* LkLink -> number */
+  guint64 next_link;
   Control *control; /* NULL without the role */
   Subscription *subscription;
   Dispatcher *dispatcher; /* NULL without the role */
@@ -38,13 +41,17 @@
    nothing is in progress or the drain time has passed.  */
 void daemon_drain (Daemon *daemon);
 GmTime daemon_now (const Daemon *daemon);
+/* The accepted link with NUMBER, or NULL when it has closed.  Numbers are
+   never used twice.  */
+LkLink *daemon_link (const Daemon *daemon, guint64 number);
 
 /* control.c: the replicated log, membership and failover decisions.  */
 Control *control_new (Daemon *daemon, gboolean bootstrap, GmStatus *status);
 void control_free (Control *control);
 /* A message that came on an accepted link.  */
-void control_message (Control *control, LkLink *link, const WmMessage *m);
-void control_link_down (Control *control, LkLink *link);
+void control_message (Control *control, guint64 number, LkLink *link,
+                      const WmMessage *m);
+void control_link_down (Control *control, guint64 number);
 
 /* subscription.c: this host's copy of the control state.  */
 Subscription *subscription_new (Daemon *daemon);
@@ -52,7 +59,6 @@
 const CsState *subscription_state (const Subscription *subscription);
 /* Whether the copy is known to be current, so that work may be taken.  */
 gboolean subscription_is_fresh (const Subscription *subscription);
-GmTime subscription_stamp_age (const Subscription *subscription);
 /* Tells the control hosts at once, as after a drain began.  */
 void subscription_beat (Subscription *subscription);
 /* Sends towards the leader; FALSE when there is no link to a control host.  */
@@ -69,9 +75,8 @@
 /* dispatcher.c: queues and connections of the groups that this host owns.  */
 Dispatcher *dispatcher_new (Daemon *daemon);
 void dispatcher_free (Dispatcher *dispatcher);
-void dispatcher_message (Dispatcher *dispatcher, LkLink *link,
+void dispatcher_message (Dispatcher *dispatcher, guint64 number,
                          const WmMessage *m);
-void dispatcher_link_down (Dispatcher *dispatcher, LkLink *link);
 /* The control state changed.  */
 void dispatcher_state_changed (Dispatcher *dispatcher);
 /* Requests and transactions in progress.  */
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -1,7 +1,7 @@
 #include "daemon.h"
 #include "dbapi/dbapi.h"
 #include "http.h"
-#include "pending.h"
+#include "route/route.h"
 #include "token/token.h"
 #include <string.h>
 
@@ -12,14 +12,36 @@
 #define REQUEST_HEADER "X-Galenamount-Request-Id"
 #define TOKEN_COOKIE "galenamount_token"
 
+#define TICK_MS 5
+
 struct Entry
 {
   Daemon *daemon;
   SoupServer *server;
-  PendingTable *pending;
+  RqCore *core;
+  GHashTable *links; /* host -> Link */
+  gboolean pumping;
   guint connections;
+  guint timer;
 };
 
+/* A caller that waits for its answer.  */
+typedef struct
+{
+  SoupServerMessage *msg;
+  gulong gone_handler;
+  gboolean gone; /* the caller hung up */
+  TkSession *session;
+} Caller;
+
+/* The link to a dispatcher.  */
+typedef struct
+{
+  Entry *entry;
+  char *host;
+  LkLink *link;
+} Link;
+
 /* A caller's request as it stands in its body.  */
 typedef struct
 {
@@ -161,49 +183,203 @@
             1);
 }
 
+static void
+caller_gone (SoupServerMessage *msg, gpointer data)
+{
+  (void)msg;
+  ((Caller *)data)->gone = TRUE;
+}
+
+static Caller *
+caller_new (SoupServerMessage *msg)
+{
+  Caller *caller = g_new0 (Caller, 1);
+  caller->msg = g_object_ref (msg);
+  caller->gone_handler = g_signal_connect (msg, "disconnected",
+                                           G_CALLBACK (caller_gone), caller);
+  return caller;
+}
+
+static void
+caller_free (Caller *caller)
+{
+  g_signal_handler_disconnect (caller->msg, caller->gone_handler);
+  g_object_unref (caller->msg);
+  tk_session_free (caller->session);
+  g_free (caller);
+}
+
+static void
+put_retry (SoupServerMessage *msg, json_object *body, guint64 retry_ms)
+{
+  if (retry_ms == 0)
+    return;
+  g_autofree char *seconds
+      = g_strdup_printf ("%u", (guint)((retry_ms + 999) / 1000));
+  json_object_object_add (body, "retry_after_ms",
+                          json_object_new_int64 ((gint64)retry_ms));
+  soup_message_headers_replace (soup_server_message_get_response_headers (msg),
+                                "Retry-After", seconds);
+}
+
+static void
+put_success (const Entry *entry, const RqAction *end, json_object *body)
+{
+  const struct wm_result *r = &end->result.result;
+  const struct wm_exec *exec = &end->request->exec.exec;
+  json_object_object_add (body, "rows", rows_json (r->rows));
+  json_object_object_add (
+      body, "database",
+      json_object_new_string (r->database != NULL ? r->database : ""));
+  json_object_object_add (body, "replica",
+                          json_object_new_boolean (r->replica != 0));
+  if (exec->operation != DP_BEGIN)
+    return;
+  g_autofree char *id = rq_transaction_print (
+      subscription_state (entry->daemon->subscription), end->host, exec->group,
+      r->transaction, entry->daemon->settings->cluster_key);
+  json_object_object_add (body, "transaction", json_object_new_string (id));
+}
+
 /* Answers a caller once its request has ended.  */
 static void
-finished (const Pending *p, const WmMessage *result, gpointer data)
+answer_caller (Entry *entry, const RqAction *end)
 {
-  Entry *entry = data;
-  const struct wm_result *r = &result->result;
-  SoupServerMessage *msg = p->msg;
+  Caller *caller = end->request->owner;
+  const struct wm_result *r = &end->result.result;
+  const struct wm_exec *exec = &end->request->exec.exec;
   json_object *body = json_object_new_object ();
-  GmKind kind = r->kind < GM_KIND_COUNT ? (GmKind)r->kind : GM_INTERNAL;
+  GmKind kind = (GmKind)r->kind;
   if (r->token_position > 0)
-    tk_session_raise (p->session, p->exec.exec.group,
+    tk_session_raise (caller->session, exec->group,
                       (TkPoint){ r->token_term, r->token_position });
-  put_token (entry, msg, p->session, body);
+  put_token (entry, caller->msg, caller->session, body);
   json_object_object_add (body, "request_id",
-                          json_object_new_string (p->exec.exec.request_id));
+                          json_object_new_string (exec->request_id));
   if (kind == GM_OK)
+    put_success (entry, end, body);
+  put_retry (caller->msg, body, r->retry_ms);
+  count_answer (kind);
+  http_answer (caller->msg, kind, r->message != NULL ? r->message : "", body);
+  soup_server_message_unpause (caller->msg);
+}
+
+static void pump (Entry *entry);
+
+static void
+on_up (LkLink *link, void *owner)
+{
+  (void)link;
+  Link *l = owner;
+  Entry *entry = l->entry;
+  rq_link_up (entry->core, daemon_now (entry->daemon),
+              subscription_state (entry->daemon->subscription), l->host);
+  pump (entry);
+}
+
+static void
+on_message (LkLink *link, const WmMessage *m, void *owner)
+{
+  (void)link;
+  Link *l = owner;
+  Entry *entry = l->entry;
+  if (m->type != WM_TYPE_RESULT)
+    return;
+  if (!rq_receive (entry->core, daemon_now (entry->daemon), l->host, m))
     {
-      json_object_object_add (body, "rows", rows_json (r->rows));
-      json_object_object_add (body, "database",
-                              json_object_new_string (r->database));
-      json_object_object_add (body, "replica",
-                              json_object_new_boolean (r->replica != 0));
+      gm_count (GM_M_answers_late_total, 1);
+      gm_log (GM_EV_ANSWER_LATE, "from %s", l->host);
     }
-  if (r->retry_ms > 0)
+  pump (entry);
+}
+
+static void
+on_down (LkLink *link, void *owner)
+{
+  (void)link;
+  Link *l = owner;
+  Entry *entry = l->entry;
+  g_autofree char *host = g_strdup (l->host);
+  g_hash_table_remove (entry->links, host);
+  rq_link_down (entry->core, daemon_now (entry->daemon), host);
+  pump (entry);
+}
+
+static const LkHandler link_handler
+    = { .up = on_up, .message = on_message, .down = on_down };
+
+static void
+link_free (Link *l)
+{
+  lk_close (l->link);
+  g_free (l->host);
+  g_free (l);
+}
+
+static void
+dial (Entry *entry, const RqAction *action)
+{
+  CfAddress address = { 0 };
+  if (!cf_address_parse (action->address, &address))
     {
-      g_autofree char *seconds
-          = g_strdup_printf ("%u", (guint)((r->retry_ms + 999) / 1000));
-      json_object_object_add (body, "retry_after_ms",
-                              json_object_new_int64 ((gint64)r->retry_ms));
-      soup_message_headers_replace (
-          soup_server_message_get_response_headers (msg), "Retry-After",
-          seconds);
+      rq_link_down (entry->core, daemon_now (entry->daemon), action->host);
+      return;
     }
-  if (kind == GM_OK && p->exec.exec.operation == DP_BEGIN)
+  Link *l = g_new0 (Link, 1);
+  l->entry = entry;
+  l->host = g_strdup (action->host);
+  l->link = lk_dial (&address, &entry->daemon->identity, &link_handler, l);
+  g_hash_table_replace (entry->links, l->host, l);
+  g_free (address.ip);
+}
+
+static void
+act (Entry *entry, RqAction *action)
+{
+  const Link *l = action->host != NULL
+                      ? g_hash_table_lookup (entry->links, action->host)
+                      : NULL;
+  if (action->type == RQ_DIAL)
+    dial (entry, action);
+  else if (action->type == RQ_HANG_UP)
+    g_hash_table_remove (entry->links, action->host);
+  else if (action->type == RQ_SEND
+           && (l == NULL || !lk_send (l->link, &action->request->exec)))
+    rq_not_sent (action->request, daemon_now (entry->daemon));
+  else if (action->type == RQ_END)
     {
-      g_autofree char *id
-          = pending_transaction_id (p, r->transaction, entry->daemon);
-      json_object_object_add (body, "transaction",
-                              json_object_new_string (id));
+      Caller *caller = action->request->owner;
+      if (!caller->gone)
+        answer_caller (entry, action);
+      caller_free (caller);
     }
-  count_answer (kind);
-  http_answer (msg, kind, r->message, body);
-  soup_server_message_unpause (msg);
+}
+
+static void
+pump (Entry *entry)
+{
+  RqAction action;
+  /* An action may lead back here; the outer call goes on with the rest.  */
+  if (entry->pumping)
+    return;
+  entry->pumping = TRUE;
+  while (rq_take_action (entry->core, &action))
+    {
+      act (entry, &action);
+      rq_action_clear (&action);
+    }
+  entry->pumping = FALSE;
+  gm_gauge (GM_M_requests_open, rq_count (entry->core));
+}
+
+static gboolean
+tick (gpointer data)
+{
+  Entry *entry = data;
+  rq_tick (entry->core, daemon_now (entry->daemon),
+           subscription_state (entry->daemon->subscription));
+  pump (entry);
+  return G_SOURCE_CONTINUE;
 }
 
 static const char *
@@ -269,30 +445,37 @@
   if (group == NULL
       || read_params (document, body->params, &params, status) != GM_OK)
     return status->kind;
-  Pending *p = pending_new (msg);
+  Caller *caller = caller_new (msg);
   gboolean trusted;
-  p->session = read_session (entry, msg, &trusted);
-  TkPoint point = tk_session_point (p->session, group);
-  p->deadline = daemon_now (entry->daemon) + service->deadline_ms * GM_MS;
-  p->exec = (WmMessage){ .type = WM_TYPE_EXEC,
-                         .exec = { .operation = operation,
-                                   .service = g_strdup (service->name),
-                                   .group = g_strdup (group),
-                                   .request_id = request_id_of (msg, body),
-                                   .statement = g_strdup (body->statement),
-                                   .params = params,
-                                   .session = trusted ? 1 : 0,
-                                   .token_term = point.term,
-                                   .token_position = point.position } };
+  caller->session = read_session (entry, msg, &trusted);
+  TkPoint point = tk_session_point (caller->session, group);
+  RqRequest *request = rq_request_new ();
+  request->owner = caller;
+  request->deadline
+      = daemon_now (entry->daemon) + service->deadline_ms * GM_MS;
+  request->exec
+      = (WmMessage){ .type = WM_TYPE_EXEC,
+                     .exec = { .operation = operation,
+                               .service = g_strdup (service->name),
+                               .group = g_strdup (group),
+                               .request_id = request_id_of (msg, body),
+                               .statement = g_strdup (body->statement),
+                               .params = params,
+                               .session = trusted ? 1 : 0,
+                               .token_term = point.term,
+                               .token_position = point.position } };
   if (body->transaction != NULL
-      && !pending_join_transaction (p, body->transaction, entry->daemon))
+      && !rq_transaction_join (request, state, body->transaction,
+                               entry->daemon->settings->cluster_key))
     {
-      pending_free (p);
+      rq_request_free (request);
+      caller_free (caller);
       return gm_fail (status, GM_TRANSACTION_LOST,
                       "the transaction is not known or its host is gone");
     }
   soup_server_message_pause (msg);
-  pending_submit (entry->pending, p);
+  rq_submit (entry->core, daemon_now (entry->daemon), state, request);
+  pump (entry);
   return GM_OK;
 }
 
@@ -508,13 +691,15 @@
 void
 entry_state_changed (Entry *entry)
 {
-  pending_state_changed (entry->pending);
+  rq_state (entry->core, daemon_now (entry->daemon),
+            subscription_state (entry->daemon->subscription));
+  pump (entry);
 }
 
 guint
 entry_open (const Entry *entry)
 {
-  return pending_count (entry->pending);
+  return rq_count (entry->core);
 }
 
 Entry *
@@ -530,7 +715,10 @@
   Entry *entry = g_new0 (Entry, 1);
   entry->daemon = daemon;
   entry->server = server;
-  entry->pending = pending_table_new (daemon, finished, entry);
+  entry->core = rq_new ();
+  entry->links = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                        (GDestroyNotify)link_free);
+  entry->timer = g_timeout_add (TICK_MS, tick, entry);
   g_signal_connect (server, "request-started", G_CALLBACK (request_started),
                     entry);
   soup_server_add_handler (server, "/v1", on_request, entry, NULL);
@@ -546,6 +734,8 @@
     return;
   soup_server_disconnect (entry->server);
   g_object_unref (entry->server);
-  pending_table_free (entry->pending);
+  g_source_remove (entry->timer);
+  g_hash_table_unref (entry->links);
+  rq_free (entry->core);
   g_free (entry);
 }
--- a/daemon/subscription.c
+++ b/daemon/subscription.c
@@ -1,9 +1,8 @@
 #include "daemon.h"
+#include "control/subscriber.h"
 #include <string.h>
 
-#define BEAT_MS 200
-#define STAMP_STALE (1500 * GM_MS) /* then another control host is tried */
-#define REDIAL (100 * GM_MS)
+#define TICK_MS 20
 #define ASK_TIMEOUT (4 * GM_SECOND)
 
 typedef struct
@@ -17,14 +16,8 @@
 struct Subscription
 {
   Daemon *daemon;
-  CsState *state;
+  SbCore *core;
   LkLink *link;
-  guint peer; /* index of the control host in use */
-  GmTime dialed;
-  GmTime dial_at;
-  GmTime stamp;      /* the state was current then */
-  GmTime link_stamp; /* when this control host last proved to be current */
-  gboolean fenced;
   guint64 sequence;
   GHashTable *asks; /* sequence -> Ask */
   guint timer;
@@ -33,43 +26,21 @@
 const CsState *
 subscription_state (const Subscription *s)
 {
-  return s->state;
-}
-
-GmTime
-subscription_stamp_age (const Subscription *s)
-{
-  return daemon_now (s->daemon) - s->stamp;
+  return sb_state (s->core);
 }
 
 gboolean
 subscription_is_fresh (const Subscription *s)
 {
-  GmTime lease = s->daemon->settings->control_lease_ms * GM_MS;
-  if (s->state->declaration == NULL)
-    return FALSE;
-  /* Without a lease, one stamp since the start is enough.  */
-  if (lease == 0)
-    return s->stamp > 0;
-  return subscription_stamp_age (s) <= lease;
-}
-
-static void
-watch_fence (Subscription *s)
-{
-  gboolean fenced = !subscription_is_fresh (s);
-  if (fenced == s->fenced)
-    return;
-  s->fenced = fenced;
-  gm_log (fenced ? GM_EV_FENCED : GM_EV_UNFENCED, "version %u",
-          (guint)s->state->version);
+  return sb_is_fresh (s->core, daemon_now (s->daemon));
 }
 
 static void
 state_changed (Subscription *s)
 {
-  gm_gauge (GM_M_state_version, s->state->version);
-  gm_gauge (GM_M_config_number, s->state->history->len);
+  const CsState *state = sb_state (s->core);
+  gm_gauge (GM_M_state_version, state->version);
+  gm_gauge (GM_M_config_number, state->history->len);
   if (s->daemon->dispatcher != NULL)
     dispatcher_state_changed (s->daemon->dispatcher);
   if (s->daemon->entry != NULL)
@@ -88,97 +59,6 @@
   g_free (ask);
 }
 
-static void
-apply_entry (Subscription *s, const struct wm_rec_entry *e)
-{
-  WmMessage command;
-  gsize length;
-  const void *data = g_bytes_get_data (e->data, &length);
-  if (e->index <= s->state->version)
-    return;
-  if (e->index != s->state->version + 1
-      || e->type != 0 /* CL_COMMAND: the others change nothing here */
-      || wm_decode (data, length, &command, NULL) != GM_OK)
-    {
-      if (e->index == s->state->version + 1)
-        cs_skip (s->state, e->index);
-      return;
-    }
-  cs_apply (s->state, e->index, &command, NULL);
-  wm_clear (&command);
-}
-
-static void
-take_delta (Subscription *s, const struct wm_delta *delta)
-{
-  WmMessage entry;
-  gsize at = 0;
-  guint64 before = s->state->version;
-  while (wm_next (delta->commands, &at, &entry))
-    {
-      if (entry.type == WM_TYPE_REC_ENTRY)
-        apply_entry (s, &entry.rec_entry);
-      wm_clear (&entry);
-    }
-  if (s->state->version != before)
-    state_changed (s);
-}
-
-static void
-take_state (Subscription *s, const struct wm_state *m)
-{
-  /* The state never goes back, whatever a control host holds.  */
-  if (m->version <= s->state->version)
-    return;
-  CsState *fresh = cs_decode (m->version, m->data);
-  if (fresh == NULL)
-    return;
-  cs_free (s->state);
-  s->state = fresh;
-  state_changed (s);
-}
-
-static void
-take_stamp (Subscription *s, const struct wm_stamp *m)
-{
-  GmTime stamp = (GmTime)m->echo - (GmTime)m->age;
-  s->link_stamp = MAX (s->link_stamp, stamp);
-  if (s->state->version >= m->version)
-    s->stamp = MAX (s->stamp, stamp);
-  watch_fence (s);
-}
-
-static void
-on_message (LkLink *link, const WmMessage *m, void *owner)
-{
-  (void)link;
-  Subscription *s = owner;
-  switch (m->type)
-    {
-    case WM_TYPE_DELTA:
-      take_delta (s, &m->delta);
-      subscription_beat (s);
-      break;
-    case WM_TYPE_STATE:
-      take_state (s, &m->state);
-      subscription_beat (s);
-      break;
-    case WM_TYPE_STAMP:
-      take_stamp (s, &m->stamp);
-      break;
-    case WM_TYPE_PROPOSED:
-      if (m->proposed.kind < GM_KIND_COUNT)
-        finish_ask (s, m->proposed.sequence, (GmKind)m->proposed.kind,
-                    m->proposed.message, NULL);
-      break;
-    case WM_TYPE_STATUS_TEXT:
-      finish_ask (s, m->status_text.sequence, GM_OK, "", m->status_text.text);
-      break;
-    default:
-      break;
-    }
-}
-
 static void
 fail_asks (Subscription *s, GmTime before, GmKind kind, const char *message)
 {
@@ -194,31 +74,47 @@
 }
 
 static void
-leave_control_host (Subscription *s)
+on_up (LkLink *link, void *owner)
+{
+  (void)link;
+  Subscription *s = owner;
+  sb_link_up (s->core, daemon_now (s->daemon));
+  subscription_beat (s);
+}
+
+static void
+drop_link (Subscription *s)
 {
-  GmTime now = daemon_now (s->daemon);
   lk_close (s->link);
   s->link = NULL;
-  s->peer++;
-  s->dial_at = now + REDIAL;
   fail_asks (s, G_MAXINT64, GM_OUTCOME_UNKNOWN,
              "the control host was lost; send it again");
 }
 
 static void
-on_up (LkLink *link, void *owner)
+on_down (LkLink *link, void *owner)
 {
   (void)link;
   Subscription *s = owner;
-  s->link_stamp = daemon_now (s->daemon);
-  subscription_beat (s);
+  sb_link_down (s->core, daemon_now (s->daemon));
+  drop_link (s);
 }
 
 static void
-on_down (LkLink *link, void *owner)
+on_message (LkLink *link, const WmMessage *m, void *owner)
 {
   (void)link;
-  leave_control_host (owner);
+  Subscription *s = owner;
+  if (m->type == WM_TYPE_PROPOSED && m->proposed.kind < GM_KIND_COUNT)
+    finish_ask (s, m->proposed.sequence, (GmKind)m->proposed.kind,
+                m->proposed.message, NULL);
+  else if (m->type == WM_TYPE_STATUS_TEXT)
+    finish_ask (s, m->status_text.sequence, GM_OK, "", m->status_text.text);
+  else if (sb_receive (s->core, daemon_now (s->daemon), m))
+    {
+      state_changed (s);
+      subscription_beat (s);
+    }
 }
 
 static const LkHandler handler
@@ -228,9 +124,7 @@
 dial (Subscription *s)
 {
   const GPtrArray *peers = s->daemon->settings->peers;
-  const CfPeer *peer = g_ptr_array_index (peers, s->peer % peers->len);
-  s->dialed = daemon_now (s->daemon);
-  s->link_stamp = s->dialed;
+  const CfPeer *peer = g_ptr_array_index (peers, sb_peer (s->core));
   s->link = lk_dial (&peer->address, &s->daemon->identity, &handler, s);
 }
 
@@ -242,6 +136,7 @@
       = g_strdup_printf ("%s:%u", settings->caller.ip, settings->caller.port);
   g_autofree char *link
       = g_strdup_printf ("%s:%u", settings->link.ip, settings->link.port);
+  const CsState *state = sb_state (s->core);
   guint64 roles = (settings->entry ? CS_ENTRY : 0)
                   | (settings->dispatcher ? CS_DISPATCHER : 0)
                   | (settings->control ? CS_CONTROL : 0);
@@ -249,8 +144,8 @@
       = { .type = WM_TYPE_SUBSCRIBE,
           .subscribe = { .host = settings->host,
                          .incarnation = s->daemon->identity.incarnation,
-                         .version = s->state->version,
-                         .config = s->state->history->len,
+                         .version = state->version,
+                         .config = state->history->len,
                          .sent = (guint64)daemon_now (s->daemon),
                          .draining = s->daemon->draining ? 1 : 0,
                          .caller = caller,
@@ -305,39 +200,30 @@
 {
   Subscription *s = data;
   GmTime now = daemon_now (s->daemon);
+  GmTime age = CLAMP (sb_age (s->core, now), 0, (GmTime)G_MAXINT32 * GM_MS);
   fail_asks (s, now, GM_OUTCOME_UNKNOWN,
              "the leader did not answer; send it again");
-  if (s->link == NULL && now >= s->dial_at)
+  SbAction action = sb_tick (s->core, now);
+  if (action == SB_DIAL)
     dial (s);
-  else if (s->link != NULL && now > s->link_stamp + STAMP_STALE)
-    {
-      gm_log (GM_EV_CONTROL_STALE, "%s",
-              lk_peer (s->link) != NULL ? lk_peer (s->link) : "not connected");
-      leave_control_host (s);
-    }
-  subscription_beat (s);
-  watch_fence (s);
-  gm_gauge (GM_M_control_stamp_age_ms,
-            (guint64)(CLAMP (subscription_stamp_age (s), 0,
-                             (GmTime)G_MAXINT32 * GM_MS)
-                      / GM_MS));
+  else if (action == SB_LEAVE)
+    drop_link (s);
+  if (sb_beat_due (s->core, now))
+    subscription_beat (s);
+  gm_gauge (GM_M_control_stamp_age_ms, (guint64)(age / GM_MS));
   return G_SOURCE_CONTINUE;
 }
 
 Subscription *
 subscription_new (Daemon *daemon)
 {
+  const CfSettings *settings = daemon->settings;
   Subscription *s = g_new0 (Subscription, 1);
   s->daemon = daemon;
-  s->state = cs_new ();
-  s->stamp = -((GmTime)G_MAXINT32 * GM_MS);
-  s->fenced = TRUE;
+  s->core = sb_new (settings->host, settings->peers->len,
+                    settings->control_lease_ms * GM_MS, daemon_now (daemon));
   s->asks = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  /* Hosts spread over the control hosts by their names.  */
-  s->peer = (guint)(gm_hash (daemon->settings->host,
-                             strlen (daemon->settings->host), 1)
-                    % daemon->settings->peers->len);
-  s->timer = g_timeout_add (BEAT_MS, tick, s);
+  s->timer = g_timeout_add (TICK_MS, tick, s);
   return s;
 }
 
@@ -349,6 +235,6 @@
   g_source_remove (s->timer);
   lk_close (s->link);
   g_hash_table_unref (s->asks);
-  cs_free (s->state);
+  sb_free (s->core);
   g_free (s);
 }
--- /dev/null
+++ b/lib/control/control.c
@@ -0,0 +1,549 @@
+#include "control.h"
+#include "base/event.h"
+#include <string.h>
+
+/* A host that reads the control state through this one.  */
+typedef struct
+{
+  guint64 link;
+  char *host;
+  guint64 sent; /* version up to which it was sent the state */
+} Subscriber;
+
+/* A proposal whose entry is not yet applied.  */
+typedef struct
+{
+  guint64 link; /* 0: proposed by this host itself */
+  char *host;
+  guint64 sequence;
+} Proposal;
+
+struct CoCore
+{
+  char *host;
+  ClCore *log;
+  CsState *state;
+  MbCore *members;
+  FoCore *failover;
+  GPtrArray *subscribers; /* Subscriber * */
+  GHashTable *proposals;  /* index -> Proposal */
+  GQueue sends;           /* CoSend * */
+  gboolean led;
+  gboolean failed;
+};
+
+static void
+subscriber_free (Subscriber *subscriber)
+{
+  g_free (subscriber->host);
+  g_free (subscriber);
+}
+
+static void
+proposal_free (Proposal *proposal)
+{
+  g_free (proposal->host);
+  g_free (proposal);
+}
+
+CoCore *
+co_open (const CoIdentity *self, ClStore *store, GmTime now, GmStatus *status)
+{
+  ClCore *log = cl_open (self->host, self->disk, self->address, store,
+                         self->seed, now, status);
+  if (log == NULL)
+    return NULL;
+  CoCore *core = g_new0 (CoCore, 1);
+  core->host = g_strdup (self->host);
+  core->log = log;
+  core->state = cs_new ();
+  core->members = mb_new ();
+  core->failover = fo_new ();
+  core->subscribers
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)subscriber_free);
+  core->proposals = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                           (GDestroyNotify)proposal_free);
+  g_queue_init (&core->sends);
+  return core;
+}
+
+gboolean
+co_take_send (CoCore *core, CoSend *send)
+{
+  CoSend *first = g_queue_pop_head (&core->sends);
+  if (first == NULL)
+    return FALSE;
+  *send = *first;
+  g_free (first);
+  return TRUE;
+}
+
+void
+co_free (CoCore *core)
+{
+  CoSend send;
+  while (co_take_send (core, &send))
+    {
+      g_free (send.to);
+      wm_clear (&send.message);
+    }
+  g_ptr_array_unref (core->subscribers);
+  g_hash_table_unref (core->proposals);
+  cl_free (core->log);
+  cs_free (core->state);
+  mb_free (core->members);
+  fo_free (core->failover);
+  g_free (core->host);
+  g_free (core);
+}
+
+ClCore *
+co_log (CoCore *core)
+{
+  return core->log;
+}
+
+const CsState *
+co_state (const CoCore *core)
+{
+  return core->state;
+}
+
+const MbCore *
+co_members (const CoCore *core)
+{
+  return core->members;
+}
+
+gboolean
+co_leads (const CoCore *core)
+{
+  return core->led;
+}
+
+static void
+queue_send (CoCore *core, guint64 link, const char *to, const WmMessage *m)
+{
+  CoSend *send = g_new0 (CoSend, 1);
+  send->link = link;
+  send->to = g_strdup (to);
+  wm_copy (&send->message, m);
+  g_queue_push_tail (&core->sends, send);
+}
+
+static void
+answer_proposal (CoCore *core, guint64 link, const char *host,
+                 guint64 sequence, const GmStatus *status, guint64 version)
+{
+  WmMessage m = { .type = WM_TYPE_PROPOSED,
+                  .proposed = { .sequence = sequence,
+                                .host = (char *)host,
+                                .kind = status->kind,
+                                .message = (char *)status->message,
+                                .version = version } };
+  if (link != 0)
+    queue_send (core, link, NULL, &m);
+}
+
+static void
+log_outcome (const WmMessage *command, const GmStatus *status)
+{
+  if (command->type == WM_TYPE_CMD_CONFIG)
+    gm_log (status->kind == GM_OK ? GM_EV_CONFIG : GM_EV_CONFIG_REFUSED,
+            "%s: %s", command->cmd_config.who, status->message);
+  else if (status->kind != GM_OK)
+    return;
+  else if (command->type == WM_TYPE_CMD_HOST)
+    gm_log (GM_EV_HOST_UP, "%s, roles %u", command->cmd_host.host,
+            (guint)command->cmd_host.roles);
+  else if (command->type == WM_TYPE_CMD_HOST_DOWN)
+    gm_log (GM_EV_HOST_DOWN, "%s", command->cmd_host_down.host);
+  else if (command->type == WM_TYPE_CMD_DATABASE)
+    gm_log (command->cmd_database.leaving != 0 ? GM_EV_DATABASE_LEAVING
+                                               : GM_EV_DATABASE_UP,
+            "%s of %s", command->cmd_database.id, command->cmd_database.group);
+  else if (command->type == WM_TYPE_CMD_DATABASE_DOWN)
+    gm_log (GM_EV_DATABASE_DOWN, "%s", command->cmd_database_down.id);
+  else if (command->type == WM_TYPE_CMD_TERM)
+    gm_log (GM_EV_FAILOVER, "%s: term %u: %s", command->cmd_term.group,
+            (guint)command->cmd_term.term, command->cmd_term.reason);
+  else if (command->type == WM_TYPE_CMD_PRIMARY)
+    gm_log (GM_EV_PROMOTED, "%s: term %u: %s", command->cmd_primary.group,
+            (guint)command->cmd_primary.term, command->cmd_primary.id);
+}
+
+static void
+apply_entry (CoCore *core, const ClEntry *entry)
+{
+  GmStatus status = { GM_OK, "" };
+  WmMessage command;
+  gsize length;
+  const void *data = g_bytes_get_data (entry->data, &length);
+  if (entry->type == CL_MEMBERS)
+    gm_log (GM_EV_VOTERS, "version %u", (guint)entry->index);
+  if (entry->type != CL_COMMAND
+      || wm_decode (data, length, &command, &status) != GM_OK)
+    cs_skip (core->state, entry->index);
+  else
+    {
+      cs_apply (core->state, entry->index, &command, &status);
+      log_outcome (&command, &status);
+      wm_clear (&command);
+    }
+  const Proposal *p = g_hash_table_lookup (core->proposals, &entry->index);
+  if (p != NULL)
+    answer_proposal (core, p->link, p->host, p->sequence, &status,
+                     entry->index);
+  g_hash_table_remove (core->proposals, &entry->index);
+}
+
+static void
+take_snapshot (CoCore *core)
+{
+  GBytes *data;
+  guint64 index;
+  if (!cl_take_snapshot (core->log, &data, &index))
+    return;
+  CsState *fresh = cs_decode (index, data);
+  gm_log (GM_EV_SNAPSHOT, "version %u", (guint)index);
+  if (fresh == NULL)
+    return;
+  cs_free (core->state);
+  core->state = fresh;
+}
+
+static void
+apply_committed (CoCore *core)
+{
+  const ClEntry *entry;
+  take_snapshot (core);
+  while ((entry = cl_take_committed (core->log)) != NULL)
+    apply_entry (core, entry);
+  if (!cl_wants_snapshot (core->log))
+    return;
+  g_autoptr (GBytes) block = cs_encode (core->state);
+  cl_compact (core->log, block);
+  gm_log (GM_EV_SNAPSHOT, "version %u", (guint)core->state->version);
+}
+
+static void
+send_state (CoCore *core, Subscriber *s)
+{
+  g_autoptr (GBytes) block = cs_encode (core->state);
+  WmMessage m
+      = { .type = WM_TYPE_STATE,
+          .state = { .version = core->state->version, .data = block } };
+  queue_send (core, s->link, NULL, &m);
+  s->sent = core->state->version;
+}
+
+static guint64
+count_messages (GBytes *list)
+{
+  guint64 count = 0;
+  WmMessage m;
+  gsize at = 0;
+  while (wm_next (list, &at, &m))
+    {
+      count++;
+      wm_clear (&m);
+    }
+  return count;
+}
+
+static void
+send_delta (CoCore *core, Subscriber *s)
+{
+  while (s->sent < core->state->version)
+    {
+      g_autoptr (GBytes) list
+          = cl_entries_from (core->log, s->sent + 1, core->state->version);
+      if (list == NULL)
+        {
+          send_state (core, s);
+          return;
+        }
+      WmMessage m = { .type = WM_TYPE_DELTA,
+                      .delta = { .first = s->sent + 1,
+                                 .count = count_messages (list),
+                                 .commands = list } };
+      queue_send (core, s->link, NULL, &m);
+      s->sent += m.delta.count;
+    }
+}
+
+/* Their entries may or may not commit under the next leader.  */
+static void
+drop_proposals (CoCore *core)
+{
+  GmStatus lost = { GM_OUTCOME_UNKNOWN, "the leader changed; send it again" };
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, core->proposals);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Proposal *p = value;
+      answer_proposal (core, p->link, p->host, p->sequence, &lost, 0);
+    }
+  g_hash_table_remove_all (core->proposals);
+}
+
+static void
+watch_leadership (CoCore *core, GmTime now)
+{
+  gboolean leads = cl_role (core->log) == CL_LEADER;
+  if (leads == core->led)
+    return;
+  core->led = leads;
+  gm_log (leads ? GM_EV_LEADER : GM_EV_NOT_LEADER, "term %u",
+          (guint)cl_term (core->log));
+  if (!leads)
+    {
+      drop_proposals (core);
+      return;
+    }
+  mb_lead (core->members, now, core->state);
+  fo_lead (core->failover);
+}
+
+static void
+watch_failure (CoCore *core)
+{
+  GmStatus status;
+  if (core->failed || cl_failed (core->log, &status) == GM_OK)
+    return;
+  core->failed = TRUE;
+  gm_log (GM_EV_DISK_STOPPED, "%s", status.message);
+}
+
+/* Carries out what the log's last step asks for.  */
+static void
+pump (CoCore *core, GmTime now)
+{
+  ClSend send;
+  watch_failure (core);
+  watch_leadership (core, now);
+  apply_committed (core);
+  for (guint i = 0; i < core->subscribers->len; i++)
+    send_delta (core, g_ptr_array_index (core->subscribers, i));
+  while (cl_take_send (core->log, &send))
+    {
+      queue_send (core, 0, send.to, &send.message);
+      g_free (send.to);
+      wm_clear (&send.message);
+    }
+}
+
+static void
+propose (CoCore *core, GmTime now, guint64 link, const char *host,
+         guint64 sequence, GBytes *command)
+{
+  GmStatus status;
+  guint64 index;
+  if (cl_propose (core->log, now, command, &index, &status) != GM_OK)
+    {
+      answer_proposal (core, link, host, sequence, &status, 0);
+      return;
+    }
+  Proposal *p = g_new0 (Proposal, 1);
+  p->link = link;
+  p->host = g_strdup (host);
+  p->sequence = sequence;
+  g_hash_table_replace (core->proposals, g_memdup2 (&index, sizeof index), p);
+}
+
+static void
+propose_own (CoCore *core, GmTime now, WmMessage *command)
+{
+  g_autoptr (GBytes) block = wm_encode (command);
+  propose (core, now, 0, core->host, 0, block);
+  wm_clear (command);
+}
+
+static void
+decide (CoCore *core, GmTime now, guint64 wall)
+{
+  WmMessage command;
+  mb_tick (core->members, now, core->state);
+  fo_tick (core->failover, now, wall, core->state);
+  while (mb_take_command (core->members, &command))
+    propose_own (core, now, &command);
+  while (fo_take_command (core->failover, &command))
+    {
+      if (command.type == WM_TYPE_CMD_TERM)
+        gm_count (GM_M_failovers_total, 1);
+      propose_own (core, now, &command);
+    }
+}
+
+void
+co_tick (CoCore *core, GmTime now, guint64 wall)
+{
+  cl_tick (core->log, now);
+  pump (core, now);
+  if (!core->led)
+    return;
+  decide (core, now, wall);
+  pump (core, now);
+}
+
+static Subscriber *
+find_subscriber (const CoCore *core, guint64 link)
+{
+  for (guint i = 0; i < core->subscribers->len; i++)
+    {
+      Subscriber *s = g_ptr_array_index (core->subscribers, i);
+      if (s->link == link)
+        return s;
+    }
+  return NULL;
+}
+
+static void
+send_stamp (CoCore *core, GmTime now, const Subscriber *s,
+            const struct wm_subscribe *beat)
+{
+  GmTime stamp = cl_stamp (core->log, now);
+  const char *leader = cl_leader (core->log);
+  /* The age saturates: a host without a stamp vouches for nothing.  */
+  GmTime age = CLAMP (now - stamp, 0, (GmTime)G_MAXINT32 * GM_MS);
+  WmMessage m
+      = { .type = WM_TYPE_STAMP,
+          .stamp = { .echo = beat->sent,
+                     .age = (guint64)age,
+                     .version = core->state->version,
+                     .leader = (char *)(leader != NULL ? leader : "") } };
+  queue_send (core, s->link, NULL, &m);
+}
+
+static Subscriber *
+add_subscriber (CoCore *core, guint64 link, const struct wm_subscribe *beat)
+{
+  Subscriber *s = g_new0 (Subscriber, 1);
+  s->link = link;
+  s->host = g_strdup (beat->host);
+  s->sent = beat->version;
+  g_ptr_array_add (core->subscribers, s);
+  return s;
+}
+
+gboolean
+co_forward (CoCore *core, const WmMessage *m)
+{
+  const char *leader = cl_leader (core->log);
+  if (core->led || leader == NULL || strcmp (leader, core->host) == 0)
+    return FALSE;
+  queue_send (core, 0, leader, m);
+  return TRUE;
+}
+
+static void
+take_subscribe (CoCore *core, GmTime now, guint64 link, const char *from,
+                const WmMessage *m)
+{
+  const struct wm_subscribe *beat = &m->subscribe;
+  /* A heartbeat that another control host forwarded is no subscription.  */
+  if (strcmp (from, beat->host) == 0)
+    {
+      Subscriber *s = find_subscriber (core, link);
+      if (s == NULL)
+        s = add_subscriber (core, link, beat);
+      send_delta (core, s);
+      send_stamp (core, now, s, beat);
+    }
+  if (core->led)
+    mb_host (core->members, now, core->state, beat);
+  else
+    co_forward (core, m);
+}
+
+static void
+take_propose (CoCore *core, GmTime now, guint64 link, const WmMessage *m)
+{
+  const struct wm_propose *p = &m->propose;
+  if (core->led)
+    propose (core, now, link, p->host, p->sequence, p->command);
+  else if (!co_forward (core, m))
+    {
+      GmStatus status = { GM_UNAVAILABLE, "no control host leads now" };
+      answer_proposal (core, link, p->host, p->sequence, &status, 0);
+    }
+}
+
+static void
+take_voter (CoCore *core, GmTime now, guint64 link, const WmMessage *m)
+{
+  const struct wm_voter *v = &m->voter;
+  GmStatus status;
+  if (co_forward (core, m))
+    return;
+  if (strcmp (v->action, "replace") == 0)
+    cl_admit (core->log, now, v->member, &status);
+  else
+    cl_remove (core->log, now, v->member, &status);
+  answer_proposal (core, link, v->host, v->sequence, &status, 0);
+}
+
+void
+co_receive (CoCore *core, GmTime now, guint64 wall, guint64 link,
+            const char *from, const WmMessage *m)
+{
+  switch (m->type)
+    {
+    case WM_TYPE_SUBSCRIBE:
+      take_subscribe (core, now, link, from, m);
+      break;
+    case WM_TYPE_PROPOSE:
+      take_propose (core, now, link, m);
+      break;
+    case WM_TYPE_VOTER:
+      take_voter (core, now, link, m);
+      break;
+    case WM_TYPE_CMD_DATABASE:
+      if (core->led)
+        mb_database (core->members, now, core->state, &m->cmd_database);
+      else
+        co_forward (core, m);
+      break;
+    case WM_TYPE_REPORT:
+      if (core->led)
+        fo_report (core->failover, now, core->state, &m->report);
+      else
+        co_forward (core, m);
+      break;
+    default:
+      cl_receive (core->log, now, m);
+      break;
+    }
+  if (core->led)
+    decide (core, now, wall);
+  pump (core, now);
+}
+
+void
+co_receive_answer (CoCore *core, const WmMessage *m)
+{
+  const char *host = m->type == WM_TYPE_PROPOSED      ? m->proposed.host
+                     : m->type == WM_TYPE_STATUS_TEXT ? m->status_text.host
+                                                      : NULL;
+  for (guint i = 0; host != NULL && i < core->subscribers->len; i++)
+    {
+      const Subscriber *s = g_ptr_array_index (core->subscribers, i);
+      if (strcmp (s->host, host) == 0)
+        queue_send (core, s->link, NULL, m);
+    }
+}
+
+void
+co_link_down (CoCore *core, guint64 link)
+{
+  Subscriber *s = find_subscriber (core, link);
+  if (s != NULL)
+    g_ptr_array_remove (core->subscribers, s);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, core->proposals);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((Proposal *)value)->link == link)
+      ((Proposal *)value)->link = 0;
+}
--- a/lib/dispatch/request.h
+++ b/lib/dispatch/request.h
@@ -7,6 +7,7 @@
 #include "base/kind.h"
 #include "conf/declaration.h"
 #include "token/token.h"
+#include "wire/message.h"
 
 /* name, text, whether it may run at the primary only  */
 #define DP_OPERATIONS(X)                                                      \
@@ -26,6 +27,7 @@
       DP_OPERATION_COUNT
 } DpOperation;
 
+#define DP_DEADLINE_MAX ((guint64)(600 * GM_SECOND))
 #define DP_ANY_AGE ((GmTime)-1)
 #define DP_ID_MAX 64 /* bytes of a database's id, with the final NUL */
 
@@ -76,6 +78,11 @@
 
 /* An empty request; every string may stay NULL.  */
 DpRequest *dp_request_new (void);
+/* The request that EXEC asks for under the rules of SERVICE.  */
+DpRequest *dp_request_from (const struct wm_exec *exec,
+                            const CfService *service, GmTime now);
+/* Makes RESULT the answer of REQUEST; it borrows from REQUEST.  */
+void dp_request_result (const DpRequest *request, WmMessage *result);
 /* Frees REQUEST, which must be in no queue.  */
 void dp_request_free (DpRequest *request);
 /* Text of OPERATION; static.  */
