Fuzz the cores together; six faults found and mended

Cause of each, as the schedule showed it: - a connection stood in the idle list while a transaction held it (begin was released before it was pinned): statements of two transactions could mix - a replaced primary served reads of entries that no other copy had - 'not run' was answered before a majority held the new primary's log: a later term could bring the write back - a stamp echoed to a restarted control host was read on its new clock and looked fresh for ever - a transaction's number was taken by the dispatcher's next process - an outcome not on record was answered with a kind that says 'not run'

Change: one mechanism each (release after use, aligned logs only, confirmed absence, probe base, incarnation in EXEC, unknown instead of not found).

Ruled out: a shorter deadline or more retries; none of the six is about time.

--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -331,30 +331,20 @@
 dispatcher_message (Dispatcher *d, guint64 number, const WmMessage *message)
 {
   const struct wm_exec *m = &message->exec;
-  const CsState *state = subscription_state (d->daemon->subscription);
+  const Subscription *subscription = d->daemon->subscription;
+  const CsState *state = subscription_state (subscription);
   Group *g = g_hash_table_lookup (d->groups, m->group);
-  const CfService *service
-      = state->declaration != NULL
-            ? cf_service_find (state->declaration, m->service)
-            : NULL;
-  if (m->operation >= DP_OPERATION_COUNT)
-    refuse (d, number, m, GM_INVALID, "not run: no such operation");
-  else if (service == NULL)
-    refuse (d, number, m, GM_UNKNOWN_SERVICE, "not run: no such service");
-  else if (g == NULL)
-    refuse (d, number, m, GM_DRAINING,
-            "not run: this host does not dispatch for the group");
-  else if (m->transaction == 0
-           && !subscription_is_fresh (d->daemon->subscription))
-    refuse (d, number, m, GM_STALE,
-            "not run: the dispatcher is cut off from control");
-  else
+  GmStatus status;
+  GmKind kind = gp_check (g != NULL ? g->core : NULL, state,
+                          subscription_is_fresh (subscription),
+                          d->daemon->identity.incarnation, m, &status);
+  if (kind != GM_OK)
     {
-      DpRequest *request = dp_request_from (m, service, now_of (g));
-      request->owner = GSIZE_TO_POINTER (number);
-      dp_submit (gp_dispatch (g->core), now_of (g), request);
-      pump (g);
+      refuse (d, number, m, kind, status.message);
+      return;
     }
+  gp_submit (g->core, now_of (g), state, GSIZE_TO_POINTER (number), m);
+  pump (g);
 }
 
 guint
--- a/lib/clog/clog.c
+++ b/lib/clog/clog.c
@@ -46,6 +46,8 @@
   GmTime heartbeat_due;
   GmTime join_due;
   GmTime stamp;
+  GmTime opened;
+  guint64 probe_base; /* added to own times in probes; differs by process */
   GmTime lead_since;
   GQueue sends; /* ClSend * */
 };
@@ -336,6 +338,8 @@
   core->peers = g_ptr_array_new_with_free_func (g_free);
   core->snapshot_taken = core->snapshot == NULL;
   core->heard = now;
+  core->opened = now;
+  core->probe_base = gm_random_next (&core->random) >> 2;
   core->stamp = G_MININT64 / 2;
   refresh_members (core);
   reset_election (core, now);
@@ -785,7 +789,7 @@
                                      .disk = core->disk,
                                      .ok = ok ? 1 : 0,
                                      .match = match,
-                                     .sent = (guint64)now,
+                                     .sent = (guint64)now + core->probe_base,
                                      .echo = echo } };
   queue_send (core, to, &answer);
 }
@@ -804,6 +808,17 @@
   return core->failure.kind == GM_OK;
 }
 
+/* Raises the stamp to the time of the probe that ECHO returns, less AGE.  The
+   echo of a probe that an earlier process of this host sent, whose clock may
+   have been another, falls outside this one's life.  */
+static void
+take_echo (ClCore *core, GmTime now, guint64 echo, GmTime age)
+{
+  GmTime probed = (GmTime)(echo - core->probe_base);
+  if (probed >= core->opened && probed <= now)
+    core->stamp = MAX (core->stamp, probed - age);
+}
+
 static void
 receive_append (ClCore *core, GmTime now, const struct wm_append *m)
 {
@@ -824,7 +839,7 @@
   core->commit = MAX (core->commit, MIN (m->commit, match));
   /* What the quorum had confirmed is held here up to the leader's commit.  */
   if (m->echo != 0 && core->commit >= m->commit)
-    core->stamp = MAX (core->stamp, (GmTime)m->echo - (GmTime)m->age);
+    take_echo (core, now, m->echo, (GmTime)m->age);
   send_appended (core, now, m->from, TRUE, match, m->sent);
 }
 
--- a/lib/dispatch/core.h
+++ b/lib/dispatch/core.h
@@ -102,6 +102,10 @@
 /* How old at most a state that includes POINT is, or G_MAXINT64.  */
 GmTime dp_age_of (const DpCore *core, GmTime now, guint64 last_term,
                   guint64 applied);
+/* Whether a database's log is known to agree with that of the term's primary:
+   it ends with an entry of the term.  A primary that was replaced may hold
+   entries that no other copy has, until it has followed the new one.  */
+gboolean dp_is_aligned (const DpCore *core, const FoDatabase *status);
 gboolean dp_is_confirmed (const DpCore *core, TkPoint point);
 void dp_confirm (DpCore *core, GmTime now);
 
@@ -127,4 +131,6 @@
                       gboolean sent);
 void dp_transaction_end (DpCore *core, GmTime now, DpTransaction *transaction);
 void dp_resolve_after_term (DpCore *core, GmTime now);
+/* Answers REQUEST, whose position a majority now holds.  */
+void dp_answer_confirmed (DpCore *core, DpRequest *request);
 void dp_wait_confirmation (DpCore *core, GmTime now, DpRequest *request);
--- a/lib/dispatch/database.c
+++ b/lib/dispatch/database.c
@@ -262,6 +262,12 @@
   return G_MAXINT64;
 }
 
+gboolean
+dp_is_aligned (const DpCore *core, const FoDatabase *status)
+{
+  return status->term == core->term && status->last_term == core->term;
+}
+
 gboolean
 dp_is_confirmed (const DpCore *core, TkPoint point)
 {
@@ -289,8 +295,7 @@
   for (guint i = 0; i < core->databases->len; i++)
     {
       const DpDatabase *d = g_ptr_array_index (core->databases, i);
-      if (d->status_at != 0 && d->status.term == core->term
-          && d->status.last_term == core->term)
+      if (d->status_at != 0 && dp_is_aligned (core, &d->status))
         g_array_append_val (held, d->status.received);
     }
   g_array_sort (held, compare_descending);
@@ -303,8 +308,7 @@
     core->confirmed = (TkPoint){ core->term, 0 };
   core->confirmed.position = MAX (core->confirmed.position, position);
   gboolean behind = primary != NULL && primary->status_at != 0
-                    && primary->status.term == core->term
-                    && primary->status.last_term == core->term
+                    && dp_is_aligned (core, &primary->status)
                     && primary->status.received > core->confirmed.position;
   if (!behind)
     core->stuck_since = 0;
@@ -322,9 +326,7 @@
       if (!dp_is_confirmed (core, request->written))
         continue;
       g_ptr_array_remove_index_fast (core->confirming, i);
-      if (tk_point_compare (request->written, core->acked) > 0)
-        core->acked = request->written;
-      dp_answer (core, request, GM_OK, "");
+      dp_answer_confirmed (core, request);
     }
 }
 
--- a/lib/dispatch/group.c
+++ b/lib/dispatch/group.c
@@ -97,6 +97,40 @@
   return core->owned;
 }
 
+GmKind
+gp_check (const GpCore *core, const CsState *state, gboolean fresh,
+          guint64 incarnation, const struct wm_exec *exec, GmStatus *status)
+{
+  if (exec->operation >= DP_OPERATION_COUNT)
+    return gm_fail (status, GM_INVALID, "not run: no such operation");
+  if (core == NULL)
+    return gm_fail (status, GM_DRAINING,
+                    "not run: this host does not dispatch for the group");
+  /* An entry host may not know yet that this host has started anew, with
+     transaction numbers of its own.  */
+  if (exec->transaction != 0 && exec->incarnation != incarnation)
+    return gm_fail (status, GM_TRANSACTION_LOST,
+                    "the transaction ended with its dispatcher");
+  if (exec->transaction == 0 && !fresh)
+    return gm_fail (status, GM_STALE,
+                    "not run: the dispatcher is cut off from control");
+  if (state->declaration == NULL
+      || cf_service_find (state->declaration, exec->service) == NULL)
+    return gm_fail (status, GM_UNKNOWN_SERVICE, "not run: no such service");
+  return gm_ok (status);
+}
+
+void
+gp_submit (GpCore *core, GmTime now, const CsState *state, gpointer owner,
+           const struct wm_exec *exec)
+{
+  const CfService *service
+      = cf_service_find (state->declaration, exec->service);
+  DpRequest *request = dp_request_from (exec, service, now);
+  request->owner = owner;
+  dp_submit (core->dispatch, now, request);
+}
+
 static Watch *
 find_watch (const GpCore *core, const char *id)
 {
--- a/lib/dispatch/group.h
+++ b/lib/dispatch/group.h
@@ -47,6 +47,15 @@
 /* The dispatch core, for submissions and reports about its connections.  */
 DpCore *gp_dispatch (GpCore *core);
 gboolean gp_owned (const GpCore *core);
+/* Whether EXEC can be submitted at a host with INCARNATION whose copy of the
+   control state is STATE, known to be current if FRESH.  CORE is NULL when the
+   host has nothing of the group.  Returns the kind to refuse it with.  */
+GmKind gp_check (const GpCore *core, const CsState *state, gboolean fresh,
+                 guint64 incarnation, const struct wm_exec *exec,
+                 GmStatus *status);
+/* Submits EXEC, which gp_check let pass, for OWNER.  */
+void gp_submit (GpCore *core, GmTime now, const CsState *state, gpointer owner,
+                const struct wm_exec *exec);
 /* Takes what the control state now says.  */
 void gp_update (GpCore *core, GmTime now, const CsState *state);
 /* The watch's connection to the database ID is ready, or was lost.  */
--- a/lib/dispatch/outcome.c
+++ b/lib/dispatch/outcome.c
@@ -16,13 +16,13 @@
 }
 
 /* Sends REQUEST, whose outcome is open, to the new primary as a question for
-   its request id.  The new primary's log is final as to earlier terms: what it
-   doesn't hold has no effect.  */
+   its request id.  */
 static void
 resolve (DpCore *core, GmTime now, DpRequest *request)
 {
   request->operation = DP_OUTCOME;
   request->resolving = TRUE;
+  request->absent = FALSE;
   request->transaction = 0;
   dp_queue_again (core, now, request);
 }
@@ -93,6 +93,24 @@
                "not run: the database's connections fail");
 }
 
+void
+dp_answer_confirmed (DpCore *core, DpRequest *request)
+{
+  if (request->absent && request->original != DP_OUTCOME)
+    dp_answer (core, request, GM_UNAVAILABLE,
+               "not run: the primary was replaced before the write was safe; "
+               "it has no effect");
+  else if (request->absent)
+    dp_answer (core, request, GM_OUTCOME_UNKNOWN,
+               "no request with this id is on record yet");
+  else
+    {
+      if (tk_point_compare (request->written, core->acked) > 0)
+        core->acked = request->written;
+      dp_answer (core, request, GM_OK, "");
+    }
+}
+
 void
 dp_wait_confirmation (DpCore *core, GmTime now, DpRequest *request)
 {
@@ -118,9 +136,9 @@
   dp_queue_again (core, now, request);
 }
 
-/* A read is answered when the database had all that the session requires
-   before the statement ran, and, at the primary, once a majority holds all
-   that the statement may have seen.  */
+/* A read is answered when the log of its database agreed with the primary's
+   and held all that the session requires before the statement ran, and, at the
+   primary, once a majority holds all that the statement may have seen.  */
 static void
 read_done (DpCore *core, GmTime now, DpConn *conn, DpRequest *request,
            const DpOutcome *outcome)
@@ -134,9 +152,8 @@
         || (request->max_age > 0
             && dp_age_of (core, now, before->last_term, before->applied)
                    <= request->max_age);
-  /* A database that was the primary and is no more answers for nobody.  */
-  gboolean deposed = before->primary && !primary;
-  if (!reached || !young || deposed || !outcome->has_after)
+  if (!reached || !young || !dp_is_aligned (core, before)
+      || (before->primary && !primary) || !outcome->has_after)
     {
       read_again (core, now, request);
       return;
@@ -179,6 +196,7 @@
   if (!speaks_as_primary (core, conn, &outcome->before))
     {
       /* The connection is inside a transaction of a replaced primary.  */
+      conn->request = NULL;
       dp_conn_close (core, now, conn);
       dp_queue_again (core, now, request);
       return;
@@ -189,7 +207,7 @@
   transaction->touched = now;
   transaction->term = core->term;
   conn->transaction = transaction;
-  conn->state = CONN_PINNED;
+  dp_conn_release (core, now, conn);
   g_hash_table_insert (core->transactions, &transaction->id, transaction);
   request->transaction = transaction->id;
   dp_answer (core, request, GM_OK, "");
@@ -204,17 +222,9 @@
       dp_queue_again (core, now, request);
       return;
     }
-  if (!outcome->found)
-    {
-      if (request->resolving && request->original != DP_OUTCOME)
-        dp_answer (core, request, GM_UNAVAILABLE,
-                   "not run: the primary was replaced before the write was "
-                   "safe; it has no effect");
-      else
-        dp_answer (core, request, GM_NOT_FOUND,
-                   "no request with this id is on record");
-      return;
-    }
+  /* The absence counts only once a majority holds the new primary's log: a
+     later term could still choose a copy that ends in the old one.  */
+  request->absent = !outcome->found;
   request->written
       = (TkPoint){ outcome->after.last_term, outcome->after.received };
   request->seen = request->written;
@@ -253,9 +263,6 @@
     case DP_COMMIT:
       write_done (core, now, conn, request, outcome);
       break;
-    case DP_BEGIN:
-      begin_done (core, now, conn, request, outcome);
-      break;
     case DP_OUTCOME:
       outcome_done (core, now, conn, request, outcome);
       break;
@@ -307,11 +314,17 @@
     dp_note_status (conn->database, now, &outcome->after);
   if (request->operation == DP_COMMIT || request->operation == DP_ROLLBACK)
     unpin (core, conn);
-  dp_conn_release (core, now, conn);
-  if (outcome->kind != GM_OK)
-    answer_refused (core, request, outcome);
+  /* The connection goes back last: it may be closed with that.  */
+  if (outcome->kind == GM_OK && request->operation == DP_BEGIN)
+    begin_done (core, now, conn, request, outcome);
   else
-    dispatch_done (core, now, conn, request, outcome);
+    {
+      if (outcome->kind != GM_OK)
+        answer_refused (core, request, outcome);
+      else
+        dispatch_done (core, now, conn, request, outcome);
+      dp_conn_release (core, now, conn);
+    }
   dp_schedule (core, now);
 }
 
--- a/lib/dispatch/request.h
+++ b/lib/dispatch/request.h
@@ -63,6 +63,7 @@
   guint attempts;
   gboolean maybe_ran;   /* it was sent once: "not run" would be untrue */
   gboolean resolving;   /* its outcome is being looked up in a later term */
+  gboolean absent;      /* the lookup found no trace of it */
   TkPoint written;      /* to be confirmed by replicas */
   DpOperation original; /* what the caller asked, while resolving */
 
--- a/lib/dispatch/schedule.c
+++ b/lib/dispatch/schedule.c
@@ -361,8 +361,9 @@
 is_fresh_enough (const Placement *p, const DpRequest *request,
                  const DpDatabase *d)
 {
-  if (!tk_point_reached (request->required, d->status.last_term,
-                         d->status.applied))
+  if (!dp_is_aligned (p->core, &d->status)
+      || !tk_point_reached (request->required, d->status.last_term,
+                            d->status.applied))
     return FALSE;
   return request->max_age <= 0
          || dp_age_of (p->core, p->now, d->status.last_term, d->status.applied)
--- a/lib/route/route.c
+++ b/lib/route/route.c
@@ -397,6 +397,7 @@
   request->dispatcher = g_strdup (g_ptr_array_index (parts, 0));
   request->dispatcher_incarnation
       = g_ascii_strtoull (g_ptr_array_index (parts, 1), NULL, 10);
+  request->exec.exec.incarnation = request->dispatcher_incarnation;
   request->exec.exec.transaction
       = g_ascii_strtoull (g_ptr_array_index (parts, 3), NULL, 10);
   const CsHost *host = g_hash_table_lookup (state->hosts, request->dispatcher);
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -75,12 +75,13 @@
   U (applied) U (silent) U (stuck) U (open)
 
 /* Requests from an entry host to a dispatcher.  operation is a DpOperation;
+   incarnation is that of the dispatcher that holds the transaction;
    deadline is the time left in microseconds; session says whether the token's
    point may be trusted.  */
 #define WM_EXEC(U, S, B) \
   U (sequence) U (generation) U (operation) S (service) S (group) \
-  S (request_id) S (statement) B (params) U (transaction) U (deadline) \
-  U (session) U (token_term) U (token_position)
+  S (request_id) S (statement) B (params) U (transaction) U (incarnation) \
+  U (deadline) U (session) U (token_term) U (token_position)
 #define WM_RESULT(U, S, B) \
   U (sequence) U (generation) U (kind) S (message) U (retry_ms) \
   U (transaction) U (token_term) U (token_position) S (database) \
--- /dev/null
+++ b/tests/fuzz/fuzz.c
@@ -0,0 +1,408 @@
+/* The stateful fuzzer: a random schedule of requests and faults against the
+   cores, checked by the oracle.  Each step draws from a generator of its own,
+   so that steps can be left out to shrink a schedule.
+
+   Usage: fuzz [--seed N] [--seeds N] [--steps N] [--quiet]  */
+#include "oracle.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STEP_SPREAD (12 * GM_MS)
+#define FAULT_ONE_IN 60
+#define OPERATOR_ONE_IN 120
+#define FAULTS_AT_ONCE 2
+#define SETTLE (15 * GM_SECOND)
+#define SHRINK_RUNS 60
+
+/* name, least and spread of its duration in milliseconds  */
+#define FAULTS(X)                                                             \
+  X (KILL_HOST, "kill_host", 100, 4000)                                       \
+  X (FREEZE_HOST, "freeze_host", 100, 6000)                                   \
+  X (CUT_HOSTS, "cut_hosts", 100, 6000)                                       \
+  X (RESET_HOSTS, "reset_hosts", 50, 3000)                                    \
+  X (LOSE_DISK, "lose_disk", 500, 3000)                                       \
+  X (KILL_DATABASE, "kill_database", 100, 4000)                               \
+  X (FREEZE_DATABASE, "freeze_database", 100, 4000)                           \
+  X (CUT_PEERS, "cut_peers", 200, 5000)                                       \
+  X (CUT_DATABASE, "cut_database", 100, 4000)                                 \
+  X (LAG, "lag", 500, 5000)                                                   \
+  X (LATE, "late_answers", 200, 3000)                                         \
+  X (LEAVING, "leaving", 3000, 3000)
+
+typedef enum
+{
+#define X(name, text, least, spread) FAULT_##name,
+  FAULTS (X)
+#undef X
+      FAULT_COUNT
+} Fault;
+
+static const struct
+{
+  const char *text;
+  GmTime least;
+  GmTime spread;
+} faults[] = {
+#define X(name, text, least, spread) { text, least * GM_MS, spread * GM_MS },
+  FAULTS (X)
+#undef X
+};
+
+typedef struct
+{
+  Fault fault;
+  guint target;
+  guint other;
+  GmTime until;
+} Active;
+
+typedef struct
+{
+  World *world;
+  Oracle *oracle;
+  GArray *active; /* Active */
+  guint injected[FAULT_COUNT];
+  GmTime quiet_since;
+  GString *schedule;
+} Run;
+
+static gboolean
+is_target (const Run *run, gboolean database, guint target)
+{
+  for (guint i = 0; i < run->active->len; i++)
+    {
+      const Active *a = &g_array_index (run->active, Active, i);
+      gboolean on_database
+          = a->fault >= FAULT_KILL_DATABASE && a->fault <= FAULT_LEAVING;
+      if (on_database == database && a->target == target)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+replaced (World *w, GmKind kind, const char *message, gpointer data)
+{
+  (void)w;
+  (void)kind;
+  (void)message;
+  (void)data;
+}
+
+/* The operator admits the new disk of control host H.  */
+static void
+ask_replace (World *w, guint h)
+{
+  g_autofree char *name = g_strdup_printf ("host%u", h);
+  WmMessage m = { .type = WM_TYPE_VOTER,
+                  .voter = { .member = name, .action = (char *)"replace" } };
+  for (guint i = 0; i < HOSTS; i++)
+    if (world_host_works (w, i))
+      world_ask (w, i, &m, replaced, NULL);
+}
+
+/* Starts the fault of A; FALSE when it can't be had now.  */
+static gboolean
+inject (Run *run, const Active *a, gboolean silent)
+{
+  World *w = run->world;
+  switch (a->fault)
+    {
+    case FAULT_KILL_HOST:
+      world_kill_host (w, a->target);
+      return TRUE;
+    case FAULT_FREEZE_HOST:
+      world_freeze_host (w, a->target, TRUE);
+      return TRUE;
+    case FAULT_CUT_HOSTS:
+    case FAULT_RESET_HOSTS:
+      world_cut_hosts (w, a->target, a->other, a->until,
+                       a->fault == FAULT_RESET_HOSTS);
+      return TRUE;
+    case FAULT_LOSE_DISK:
+      /* A second loss before the first is repaired is one too many.  */
+      if (a->target >= CONTROL_HOSTS || world_voters (w) < CONTROL_HOSTS)
+        return FALSE;
+      world_lose_disk (w, a->target);
+      return TRUE;
+    case FAULT_KILL_DATABASE:
+      world_kill_database (w, a->target);
+      return TRUE;
+    case FAULT_FREEZE_DATABASE:
+      world_freeze_database (w, a->target, TRUE);
+      return TRUE;
+    case FAULT_CUT_PEERS:
+      world_cut_peers (w, a->target, TRUE);
+      return TRUE;
+    case FAULT_CUT_DATABASE:
+      for (guint h = 0; h < HOSTS; h++)
+        if (h == a->other || silent)
+          world_cut_database (w, h, a->target, a->until);
+      return TRUE;
+    case FAULT_LAG:
+      world_set_lag (w, a->target, 400 * GM_MS);
+      return TRUE;
+    case FAULT_LATE:
+      world_set_late (w, a->target, 300 * GM_MS);
+      return TRUE;
+    case FAULT_LEAVING:
+      world_set_leaving (w, a->target, TRUE);
+      return TRUE;
+    default:
+      return FALSE;
+    }
+}
+
+static void
+end_fault (Run *run, const Active *a)
+{
+  World *w = run->world;
+  switch (a->fault)
+    {
+    case FAULT_KILL_HOST:
+    case FAULT_LOSE_DISK:
+      world_start_host (w, a->target);
+      break;
+    case FAULT_FREEZE_HOST:
+      world_freeze_host (w, a->target, FALSE);
+      break;
+    case FAULT_CUT_HOSTS:
+    case FAULT_RESET_HOSTS:
+      world_heal_hosts (w, a->target, a->other);
+      break;
+    case FAULT_KILL_DATABASE:
+      world_start_database (w, a->target);
+      break;
+    case FAULT_FREEZE_DATABASE:
+      world_freeze_database (w, a->target, FALSE);
+      break;
+    case FAULT_CUT_PEERS:
+      world_cut_peers (w, a->target, FALSE);
+      break;
+    case FAULT_LAG:
+      world_set_lag (w, a->target, 5 * GM_MS);
+      break;
+    case FAULT_LATE:
+      world_set_late (w, a->target, 0);
+      break;
+    case FAULT_LEAVING:
+      world_set_leaving (w, a->target, FALSE);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+note (Run *run, guint step, const char *what, const Active *a)
+{
+  g_string_append_printf (run->schedule,
+                          "  step %u at %" G_GINT64_FORMAT
+                          " ms: %s of %u/%u until %" G_GINT64_FORMAT " ms\n",
+                          step, run->world->now / GM_MS, what, a->target,
+                          a->other, a->until / GM_MS);
+}
+
+static void
+end_due_faults (Run *run, guint step)
+{
+  World *w = run->world;
+  for (guint i = run->active->len; i-- > 0;)
+    {
+      Active a = g_array_index (run->active, Active, i);
+      if (a.until > w->now)
+        continue;
+      end_fault (run, &a);
+      note (run, step, "end", &a);
+      g_array_remove_index (run->active, i);
+    }
+  /* Leaving alone is no disturbance.  */
+  gboolean calm = TRUE;
+  for (guint i = 0; i < run->active->len; i++)
+    calm = calm
+           && g_array_index (run->active, Active, i).fault == FAULT_LEAVING;
+  if (!calm)
+    run->quiet_since = w->now;
+  w->calm = calm && w->now > run->quiet_since + 5 * GM_SECOND;
+}
+
+static void
+fault_step (Run *run, guint step, GmRandom *r)
+{
+  World *w = run->world;
+  Active a = { .fault = (Fault)gm_random_below (r, FAULT_COUNT) };
+  gboolean database = a.fault >= FAULT_KILL_DATABASE;
+  gboolean silent = gm_random_below (r, 2) == 0;
+  GmTime span = (GmTime)gm_random_below (r, (guint64)faults[a.fault].spread);
+  a.until = w->now + faults[a.fault].least + span;
+  a.target = (guint)gm_random_below (r, database ? DATABASES : HOSTS);
+  a.other = (a.target + 1 + (guint)gm_random_below (r, HOSTS - 1)) % HOSTS;
+  if (run->active->len >= FAULTS_AT_ONCE || is_target (run, database, a.target)
+      || !inject (run, &a, silent))
+    return;
+  run->injected[a.fault]++;
+  note (run, step, faults[a.fault].text, &a);
+  g_array_append_val (run->active, a);
+}
+
+static void
+one_step (Run *run, guint64 seed, guint step)
+{
+  GmRandom r;
+  gm_random_seed (&r, seed * 1000003 + step);
+  GmTime span = (GmTime)gm_random_below (&r, STEP_SPREAD);
+  world_advance (run->world, run->world->now + span);
+  end_due_faults (run, step);
+  if (gm_random_below (&r, FAULT_ONE_IN) == 0)
+    fault_step (run, step, &r);
+  if (gm_random_below (&r, OPERATOR_ONE_IN) == 0)
+    oracle_operator_step (run->oracle, &r);
+  /* An operator notices an empty disk sooner or later.  */
+  if (step % 100 == 0 && world_voters (run->world) < CONTROL_HOSTS)
+    for (guint h = 0; h < CONTROL_HOSTS; h++)
+      ask_replace (run->world, h);
+  oracle_session_step (run->oracle, (guint)gm_random_below (&r, SESSIONS), &r);
+  oracle_check (run->oracle);
+}
+
+static void
+settle (Run *run)
+{
+  World *w = run->world;
+  world_heal (w);
+  for (int i = 0; i < 30; i++)
+    {
+      world_advance (w, w->now + SETTLE / 30);
+      if (world_voters (w) < CONTROL_HOSTS)
+        for (guint h = 0; h < CONTROL_HOSTS; h++)
+          ask_replace (w, h);
+    }
+  oracle_final (run->oracle);
+}
+
+static void
+run_free (Run *run)
+{
+  world_free (run->world);
+  oracle_free (run->oracle);
+  g_array_unref (run->active);
+  g_string_free (run->schedule, TRUE);
+}
+
+/* Runs STEPS steps, leaving out those that LEFT_OUT marks, and stops at a
+   violation.  Returns the number of steps run.  */
+static guint
+run_schedule (Run *run, guint64 seed, guint steps, const guint8 *left_out)
+{
+  memset (run, 0, sizeof *run);
+  run->world = world_new (seed);
+  run->oracle = oracle_new (run->world);
+  run->active = g_array_new (FALSE, FALSE, sizeof (Active));
+  run->schedule = g_string_new (NULL);
+  for (int i = 0; i < 100 && !oracle_configure (run->oracle); i++)
+    world_advance (run->world, run->world->now + 200 * GM_MS);
+  world_advance (run->world, run->world->now + 2 * GM_SECOND);
+  guint step = 0;
+  for (; step < steps && run->world->violations == 0; step++)
+    if (left_out == NULL || left_out[step] == 0)
+      one_step (run, seed, step);
+  if (run->world->violations == 0)
+    settle (run);
+  return step;
+}
+
+/* Leaves out ever smaller pieces as long as a violation remains.  */
+static void
+shrink (guint64 seed, guint steps)
+{
+  g_autofree guint8 *left_out = g_malloc0 (steps + 1);
+  guint runs = 0;
+  for (guint piece = MAX (steps / 2, 1); piece >= MAX (steps / 16, 1);
+       piece /= 2)
+    for (guint at = 0; at < steps && runs < SHRINK_RUNS; at += piece, runs++)
+      {
+        g_autofree guint8 *trial = g_memdup2 (left_out, steps + 1);
+        memset (trial + at, 1, MIN (piece, steps - at));
+        Run run;
+        run_schedule (&run, seed, steps, trial);
+        if (run.world->violations > 0)
+          memcpy (left_out, trial, steps);
+        run_free (&run);
+        if (piece == 1 && at + 1 >= steps)
+          return;
+      }
+  Run run;
+  run_schedule (&run, seed, steps, left_out);
+  guint kept = 0;
+  for (guint i = 0; i < steps; i++)
+    kept += left_out[i] == 0 ? 1 : 0;
+  printf ("shrunk to %u of %u steps: %s\n%s", kept, steps,
+          run.world->violation->str, run.schedule->str);
+  run_free (&run);
+}
+
+typedef struct
+{
+  guint64 seed;
+  guint seeds;
+  guint steps;
+  gboolean quiet;
+} Options;
+
+static gboolean
+parse (int argc, char **argv, Options *o)
+{
+  const GOptionEntry entries[] = {
+    { "seed", 0, 0, G_OPTION_ARG_INT64, &o->seed, "first seed", "N" },
+    { "seeds", 0, 0, G_OPTION_ARG_INT, &o->seeds, "number of seeds", "N" },
+    { "steps", 0, 0, G_OPTION_ARG_INT, &o->steps, "steps of each", "N" },
+    { "quiet", 0, 0, G_OPTION_ARG_NONE, &o->quiet, "no shrinking", NULL },
+    { NULL, 0, 0, 0, NULL, NULL, NULL },
+  };
+  g_autoptr (GOptionContext) context = g_option_context_new (NULL);
+  g_autoptr (GError) error = NULL;
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (g_option_context_parse (context, &argc, &argv, &error))
+    return TRUE;
+  fprintf (stderr, "fuzz: %s\n", error->message);
+  return FALSE;
+}
+
+int
+main (int argc, char **argv)
+{
+  Options o = { .seed = 1, .seeds = 1, .steps = 2000 };
+  guint violations = 0;
+  guint injected[FAULT_COUNT] = { 0 };
+  guint64 checked = 0;
+  if (!parse (argc, argv, &o))
+    return 2;
+  for (guint64 seed = o.seed; seed < o.seed + o.seeds; seed++)
+    {
+      Run run;
+      guint steps = run_schedule (&run, seed, o.steps, NULL);
+      g_autoptr (GString) told = g_string_new (NULL);
+      oracle_print (run.oracle, told);
+      if (!o.quiet || run.world->violations > 0)
+        printf ("seed=%" G_GUINT64_FORMAT " steps=%u %s\n", seed, steps,
+                told->str);
+      if (run.world->violations > 0)
+        printf ("seed=%" G_GUINT64_FORMAT " violation: %s\n", seed,
+                run.world->violation->str);
+      for (int i = 0; i < FAULT_COUNT; i++)
+        injected[i] += run.injected[i];
+      checked += run.world->checked;
+      violations += run.world->violations;
+      gboolean bad = run.world->violations > 0;
+      run_free (&run);
+      if (bad && !o.quiet)
+        shrink (seed, steps);
+    }
+  printf ("seeds=%u steps=%u", o.seeds, o.steps);
+  for (int i = 0; i < FAULT_COUNT; i++)
+    printf (" %s=%u", faults[i].text, injected[i]);
+  printf (" checked=%" G_GUINT64_FORMAT " violations=%u\n", checked,
+          violations);
+  return violations > 0;
+}
--- /dev/null
+++ b/tests/fuzz/world.h
@@ -0,0 +1,105 @@
+/* The cores of all hosts together under a virtual clock: hosts, links,
+   databases, faults.  Small fakes stand at the sockets and disks; everything
+   between them is the product's code.  */
+#pragma once
+#include "control/control.h"
+#include "control/subscriber.h"
+#include "dispatch/group.h"
+#include "route/route.h"
+#include "store.h"
+
+#define HOSTS 5
+#define CONTROL_HOSTS 3 /* hosts 0 to 2 */
+#define DATABASES 3
+#define GROUP "costing"
+#define LEASE (4 * GM_SECOND)
+#define KEY "a key of the fuzzer"
+
+typedef struct World World;
+typedef struct Host Host;
+typedef struct Database Database;
+
+/* How a caller's request ended.  */
+typedef struct
+{
+  GmKind kind;
+  char message[GM_MESSAGE_MAX];
+  const char *database;
+  char *transaction; /* BEGIN: its text; borrowed */
+  TkPoint seen;
+  GBytes *rows;
+} Ending;
+
+typedef void (*RequestEnd) (World *w, const Ending *ending, gpointer data);
+typedef void (*ProposalEnd) (World *w, GmKind kind, const char *message,
+                             gpointer data);
+
+struct World
+{
+  GmTime now;
+  GmRandom random; /* of the network and the processes */
+  GSequence *events;
+  guint64 event_number;
+  Host *hosts[HOSTS];
+  Database *databases[DATABASES];
+  GmTime cut[HOSTS][HOSTS]; /* until when; 0: not cut */
+  GmTime database_cut[HOSTS][DATABASES];
+  GPtrArray *links;
+  GPtrArray *conns;
+  guint64 next_number;
+  GPtrArray *committed; /* digests of control entries by index */
+  GHashTable *started;  /* request id -> times that it started at a database */
+  GString *violation;   /* empty: none */
+  guint violations;
+  guint64 checked;
+  gboolean calm; /* no fault since the last change of leaving */
+  gboolean trace;
+};
+
+World *world_new (guint64 seed);
+void world_free (World *w);
+/* Runs events up to TO.  */
+void world_advance (World *w, GmTime to);
+void world_violation (World *w, const char *format, ...) G_GNUC_PRINTF (2, 3);
+/* Whether host H runs and is not frozen.  */
+gboolean world_host_works (const World *w, guint h);
+/* State and freshness of host H's copy.  */
+const CsState *world_state (const World *w, guint h);
+gboolean world_is_fresh (const World *w, guint h);
+
+/* A caller's request at host H; EXEC is consumed.  END is called once, also
+   when the host dies.  */
+void world_request (World *w, guint h, const WmMessage *exec,
+                    const char *transaction, GmTime timeout, RequestEnd end,
+                    gpointer data);
+/* An operator's proposal or membership request at host H.  */
+void world_ask (World *w, guint h, WmMessage *m, ProposalEnd end,
+                gpointer data);
+
+/* Faults.  */
+void world_kill_host (World *w, guint h);
+void world_start_host (World *w, guint h);
+void world_lose_disk (World *w, guint h);
+void world_freeze_host (World *w, guint h, gboolean frozen);
+void world_cut_hosts (World *w, guint a, guint b, GmTime until,
+                      gboolean reset);
+void world_heal_hosts (World *w, guint a, guint b);
+void world_cut_database (World *w, guint h, guint d, GmTime until);
+void world_kill_database (World *w, guint d);
+void world_start_database (World *w, guint d);
+void world_freeze_database (World *w, guint d, gboolean frozen);
+void world_cut_peers (World *w, guint d, gboolean cut);
+void world_set_lag (World *w, guint d, GmTime lag);
+void world_set_late (World *w, guint d, GmTime late);
+void world_set_leaving (World *w, guint d, gboolean leaving);
+/* Ends every fault.  */
+void world_heal (World *w);
+
+gboolean world_host_alive (const World *w, guint h);
+gboolean world_database_alive (const World *w, guint d);
+StStore *world_store (World *w, guint d);
+/* Control hosts whose disk is a voter of the group as the leader has it.  */
+guint world_voters (const World *w);
+/* The index of the group's primary as the newest control state has it, or
+   -1.  */
+int world_primary (const World *w);
