Measure the dispatch policy in virtual time beside two baselines

Change: make measure runs the product's dispatch core before a queue model of one group at both users' sizes: normal load, full load, a bulk flood and an urgent flood at five times the capacity, beside first come first served and strict rank order on the same arrivals.

--- a/Makefile
+++ b/Makefile
@@ -47,3 +47,6 @@
 	@$(MAKE) -s --no-print-directory -C build-mutants -j$$(nproc) >build-mutants/make.log 2>&1 || \
 	  { cat build-mutants/make.log; exit 1; }
 	@tests/mutants.sh build-mutants
+
+measure: all
+	@$(BUILD)/measure
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -338,7 +338,7 @@
   GmKind kind = gp_check (g != NULL ? g->core : NULL, state,
                           subscription_is_fresh (subscription),
                           d->daemon->identity.incarnation, m, &status);
-  if (kind != GM_OK)
+  if (kind != GM_OK || g == NULL)
     {
       refuse (d, number, m, kind, status.message);
       return;
