--- a/lib/dispatch/schedule.c
+++ b/lib/dispatch/schedule.c
@@ -6,6 +6,9 @@
 #define COST_WEIGHT 8    /* a new value counts one eighth */
 #define BUDGET_SHARE 0.1 /* retries per request */
 #define BUDGET_MAX 20.0
+/* Share of the time left that a request may be estimated to wait: the rest
+   bears the spread of service times.  */
+#define ADMIT_SHARE 0.5
 #define SPILL_WAIT_MAX (60 * GM_MS)  /* for a replica with a free slot */
 #define FRESH_WAIT_MAX (100 * GM_MS) /* for a replica to catch up */
 #define URGENT_WAIT_MAX (20 * GM_MS)
@@ -229,7 +232,7 @@
   GmTime wait = dq_wait (lane, request->rank, request->service,
                          lane_slots (core, request));
   GmTime left = request->deadline - now - request->cost - usual_trip (core);
-  if (wait <= left)
+  if ((double)wait <= ADMIT_SHARE * (double)left)
     return TRUE;
   DpRequest *least = dq_least_worth (lane, request->rank, request->worth);
   if (least == NULL || left < 0)
@@ -479,7 +482,11 @@
 drop_late (DpCore *core, GmTime now, DqQueue *lane, gboolean all)
 {
   DpRequest *request;
-  while ((request = dq_take_late (lane, now, all)) != NULL)
+  GmTime limit = now;
+  /* What can't come back in time would only cost a slot.  */
+  if (core->policy.admission)
+    limit += usual_trip (core);
+  while ((request = dq_take_late (lane, limit, all)) != NULL)
     refuse_for_load (core, request, request->cost);
 }
 
