--- a/lib/dispatch/database.c
+++ b/lib/dispatch/database.c
@@ -34,7 +34,8 @@
   if (extra == 0)
     {
       GmTime hidden = (GmTime)database->slots * database->trip;
-      extra = (guint)((hidden + database->service / 2) / database->service);
+      extra
+          = 1 + (guint)((hidden + database->service / 2) / database->service);
     }
   guint most = MAX (database->budget, 2) - 1;
   return MIN (database->slots + CLAMP (extra, 1, database->slots), most);
@@ -73,7 +74,8 @@
 void
 dp_keep_warm (DpCore *core, GmTime now, DpDatabase *database)
 {
-  if (database->gone || database->leaving || !core->owned)
+  gboolean leaving = database->leaving && !GM_MUTANT (LEAVING_SERVES);
+  if (database->gone || leaving || !core->owned)
     return;
   guint wanted = dp_in_flight_max (core, database) + WARM_SPARE
                  + transactions_on (core, database);
@@ -121,7 +123,8 @@
       return;
     }
   conn->state = CONN_IDLE;
-  if (conn->database->gone || conn->database->leaving || !core->owned)
+  gboolean leaving = conn->database->leaving && !GM_MUTANT (LEAVING_SERVES);
+  if (conn->database->gone || leaving || !core->owned)
     dp_conn_close (core, now, conn);
   else
     g_ptr_array_add (conn->database->idle, conn);
@@ -188,7 +191,7 @@
   database->gone = FALSE;
   database->slots = MAX (slots, 1);
   database->budget = budget_of (connections);
-  if (leaving && !database->leaving)
+  if (leaving && !database->leaving && !GM_MUTANT (LEAVING_SERVES))
     {
       database->leaving_since = now;
       while (database->idle->len > 0)
--- a/lib/dispatch/queue.c
+++ b/lib/dispatch/queue.c
@@ -1,6 +1,10 @@
 #include "queue.h"
 #include <string.h>
 
+#define SHARE_HORIZON (1.0 * GM_SECOND) /* of cost */
+#define LEAST_SHARE 0.02
+#define FLOOR_MARGIN 1.1 /* slots are never quite full */
+
 typedef struct
 {
   char *name;
@@ -15,6 +19,7 @@
   GPtrArray *services;
   GmTime backlog;
   GmTime virtual_time;
+  double share;  /* of the cost served of late */
   double credit; /* microseconds of cost owed under the floor */
   guint length;
 } Rank;
@@ -197,12 +202,18 @@
   Rank *own = &queue->ranks[service->rank];
   service->served += request->cost;
   own->virtual_time = MAX (own->virtual_time, service->served - request->cost);
+  double weight = MIN ((double)request->cost / SHARE_HORIZON, 1.0);
   for (int i = 0; i < CF_RANK_COUNT; i++)
     {
       Rank *rank = &queue->ranks[i];
-      if (rank == own || rank->length == 0)
+      rank->share += ((rank == own ? 1.0 : 0.0) - rank->share) * weight;
+    }
+  for (int i = 0; i < CF_RANK_COUNT; i++)
+    {
+      Rank *rank = &queue->ranks[i];
+      if (rank->length == 0)
         continue;
-      rank->credit += queue->floors[i] * (double)request->cost;
+      rank->credit += FLOOR_MARGIN * queue->floors[i] * (double)request->cost;
       rank->credit = MIN (rank->credit, (double)DQ_CREDIT_MAX);
     }
 }
@@ -297,6 +308,23 @@
   return count;
 }
 
+/* The share of the slots that RANK can count on: what the ranks before it have
+   left of late, its floor at least, less the floors of those behind it.  */
+static double
+share_of (const DqQueue *queue, CfRank rank)
+{
+  double before = 0;
+  double behind = 0;
+  for (int i = 0; i < CF_RANK_COUNT; i++)
+    if (i < (int)rank)
+      before += queue->ranks[i].share;
+    else if (i > (int)rank && queue->ranks[i].length > 0
+             && queue->order == DQ_FLOORS)
+      behind += queue->floors[i];
+  double floor = queue->order == DQ_FLOORS ? queue->floors[rank] : 0;
+  return MAX (MAX (1.0 - before - behind, floor), LEAST_SHARE);
+}
+
 GmTime
 dq_wait (const DqQueue *queue, CfRank rank, const char *name, double slots)
 {
@@ -307,22 +335,7 @@
      has waiting itself.  */
   GmTime fair = own_backlog * (GmTime)(1 + busy_services (own, service));
   GmTime in_rank = MIN (own->backlog, fair);
-  GmTime before = 0;
-  double others = 0;
-  for (int i = 0; i < CF_RANK_COUNT; i++)
-    {
-      if (i < (int)rank)
-        before += queue->ranks[i].backlog;
-      else if (i > (int)rank && queue->ranks[i].length > 0
-               && queue->order == DQ_FLOORS)
-        others += queue->floors[i];
-    }
-  double by_order
-      = (double)(before + in_rank) / (slots * MAX (0.1, 1.0 - others));
-  double floor = queue->order == DQ_FLOORS ? queue->floors[rank] : 0;
-  double by_floor
-      = floor > 0 ? (double)in_rank / (slots * floor) : G_MAXINT64 / 4.0;
-  return (GmTime)MIN (by_order, by_floor);
+  return (GmTime)((double)in_rank / (slots * share_of (queue, rank)));
 }
 
 guint
