Tables for the control log, the control state, dispatch and the decoders

Change: tests for learners, lost disks, stamps and damaged log files; for submissions, copies and stale control hosts; one row per phase of a write and fault in it; every decoder against 20,000 damaged inputs.

--- /dev/null
+++ b/tests/test_clog.c
@@ -0,0 +1,398 @@
+/* The control log: membership, disks, stamps, and its files.  */
+#include "clog/filestore.h"
+#include "fuzz/memstore.h"
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define START (10 * GM_SECOND)
+
+/* A log of its own; stands for one control host.  */
+typedef struct
+{
+  ClStore *store;
+  ClCore *core;
+  GmTime now;
+} Node;
+
+static Node
+node_new (const char *host, const char *disk)
+{
+  Node n = { .store = memstore_new (), .now = START };
+  n.core = cl_open (host, disk, host, n.store, 7, n.now, NULL);
+  g_assert_nonnull (n.core);
+  return n;
+}
+
+static void
+node_free (Node *n)
+{
+  cl_free (n->core);
+  n->store->class->free (n->store);
+}
+
+static void
+drop_sends (Node *n)
+{
+  ClSend send;
+  while (cl_take_send (n->core, &send))
+    {
+      g_free (send.to);
+      wm_clear (&send.message);
+    }
+}
+
+/* The next message of TYPE to HOST; fails the test when there is none.  */
+static WmMessage
+expect_send (Node *n, const char *host, WmType type)
+{
+  ClSend send;
+  while (cl_take_send (n->core, &send))
+    {
+      gboolean match
+          = strcmp (send.to, host) == 0 && send.message.type == type;
+      g_free (send.to);
+      if (match)
+        return send.message;
+      wm_clear (&send.message);
+    }
+  g_error ("no %s for %s", wm_type_name (type), host);
+}
+
+static void
+lead_alone (Node *n)
+{
+  g_assert_cmpint (cl_bootstrap (n->core, n->now, NULL), ==, GM_OK);
+  cl_tick (n->core, n->now);
+  g_assert_cmpint (cl_role (n->core), ==, CL_LEADER);
+}
+
+static void
+join (Node *n, const char *host, const char *disk)
+{
+  WmMessage m = { .type = WM_TYPE_JOIN,
+                  .join = { .from = (char *)host,
+                            .disk = (char *)disk,
+                            .address = (char *)host } };
+  cl_receive (n->core, n->now, &m);
+}
+
+static void
+appended (Node *n, const char *host, const char *disk, guint64 match)
+{
+  WmMessage m = { .type = WM_TYPE_APPENDED,
+                  .appended = { .term = cl_term (n->core),
+                                .from = (char *)host,
+                                .disk = (char *)disk,
+                                .ok = 1,
+                                .match = match,
+                                .sent = 1,
+                                .echo = (guint64)n->now } };
+  cl_receive (n->core, n->now, &m);
+}
+
+static gboolean
+is_voter (const Node *n, const char *host)
+{
+  const GPtrArray *members = cl_members (n->core);
+  for (guint i = 0; i < members->len; i++)
+    {
+      const ClMember *m = g_ptr_array_index (members, i);
+      if (strcmp (m->host, host) == 0)
+        return m->voter;
+    }
+  return FALSE;
+}
+
+static void
+test_learner (void)
+{
+  Node n = node_new ("a", "disk-a");
+  lead_alone (&n);
+  join (&n, "b", "disk-b");
+  g_assert_false (is_voter (&n, "b"));
+  /* Behind by one entry: still no voter; with all entries: voter.  */
+  appended (&n, "b", "disk-b", cl_commit (n.core) - 1);
+  g_assert_false (is_voter (&n, "b"));
+  appended (&n, "b", "disk-b", cl_last_index (n.core));
+  g_assert_true (is_voter (&n, "b"));
+  node_free (&n);
+}
+
+static void
+test_lost_disk (void)
+{
+  Node n = node_new ("a", "disk-a");
+  lead_alone (&n);
+  join (&n, "b", "disk-b");
+  appended (&n, "b", "disk-b", cl_last_index (n.core));
+  appended (&n, "b", "disk-b", cl_last_index (n.core));
+  g_autoptr (GBytes) command = g_bytes_new ("x", 1);
+  guint64 index;
+  g_assert_cmpint (cl_propose (n.core, n.now, command, &index, NULL), ==,
+                   GM_OK);
+  /* An emptied folder has another identity: its word does not count, and it
+     joins only when an operator says so.  */
+  appended (&n, "b", "disk-new", index);
+  g_assert_cmpuint (cl_commit (n.core), <, index);
+  join (&n, "b", "disk-new");
+  g_assert_true (is_voter (&n, "b"));
+  appended (&n, "b", "disk-b", index);
+  g_assert_cmpuint (cl_commit (n.core), ==, index);
+  g_assert_cmpint (cl_admit (n.core, n.now, "b", NULL), ==, GM_OK);
+  g_assert_false (is_voter (&n, "b"));
+  node_free (&n);
+}
+
+static void
+test_replace_twice (void)
+{
+  Node n = node_new ("a", "disk-a");
+  lead_alone (&n);
+  join (&n, "b", "disk-b");
+  appended (&n, "b", "disk-b", cl_last_index (n.core));
+  appended (&n, "b", "disk-b", cl_last_index (n.core));
+  g_assert_true (is_voter (&n, "b"));
+  g_assert_cmpint (cl_admit (n.core, n.now, "b", NULL), ==, GM_NOT_FOUND);
+  g_assert_true (is_voter (&n, "b"));
+  g_assert_cmpint (cl_admit (n.core, n.now, "c", NULL), ==, GM_NOT_FOUND);
+  node_free (&n);
+}
+
+/* An APPEND of leader "l" that returns ECHO.  */
+static void
+heartbeat (Node *n, guint64 echo)
+{
+  g_autoptr (GBytes) none = g_bytes_new (NULL, 0);
+  WmMessage m = { .type = WM_TYPE_APPEND,
+                  .append = { .term = 1,
+                              .from = (char *)"l",
+                              .disk = (char *)"disk-l",
+                              .sent = 1,
+                              .echo = echo,
+                              .entries = none } };
+  cl_receive (n->core, n->now, &m);
+}
+
+static void
+test_stamp (void)
+{
+  Node n = node_new ("a", "disk-a");
+  heartbeat (&n, 0);
+  WmMessage answer = expect_send (&n, "l", WM_TYPE_APPENDED);
+  guint64 probe = answer.appended.sent;
+  wm_clear (&answer);
+  /* The clock of an earlier process, as plain times of this host.  */
+  n.now += GM_SECOND;
+  heartbeat (&n, (guint64)n.now - 1000);
+  g_assert_cmpint (cl_stamp (n.core, n.now), <, START);
+  heartbeat (&n, (guint64)n.now + 3600 * (guint64)GM_SECOND);
+  g_assert_cmpint (cl_stamp (n.core, n.now), <, START);
+  heartbeat (&n, probe);
+  g_assert_cmpint (cl_stamp (n.core, n.now), ==, START);
+  drop_sends (&n);
+  node_free (&n);
+}
+
+typedef struct
+{
+  char *path;
+  ClFileStore *files;
+  ClCore *core;
+} Disk;
+
+static GmKind
+disk_open (Disk *d, GmStatus *status)
+{
+  d->files = cl_file_store_open (d->path, status);
+  if (d->files == NULL)
+    return status->kind;
+  d->core = cl_open ("a", cl_file_store_disk (d->files), "a",
+                     cl_file_store (d->files), 7, START, status);
+  return d->core != NULL ? GM_OK : status->kind;
+}
+
+static void
+disk_close (Disk *d)
+{
+  ClStore *store = cl_file_store (d->files);
+  cl_free (d->core);
+  store->class->free (store);
+}
+
+static void
+disk_remove (Disk *d)
+{
+  static const char *const names[]
+      = { "log", "vote", "snapshot", "identity", "log.new" };
+  for (gsize i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      g_autofree char *file = g_build_filename (d->path, names[i], NULL);
+      g_unlink (file);
+    }
+  g_rmdir (d->path);
+  g_free (d->path);
+}
+
+static void
+append_commands (Disk *d, guint count)
+{
+  g_autoptr (GBytes) command = g_bytes_new ("command", 7);
+  for (guint i = 0; i < count; i++)
+    {
+      guint64 index;
+      g_assert_cmpint (cl_propose (d->core, START, command, &index, NULL), ==,
+                       GM_OK);
+    }
+  while (cl_take_committed (d->core) != NULL)
+    ;
+}
+
+/* What is done to the log file between two starts, and what must follow.  */
+static const struct
+{
+  const char *name;
+  int cut;   /* bytes taken from the end */
+  int zeros; /* zero bytes added at the end */
+  int flip;  /* byte turned over, counted from the end; 0: none */
+  GmKind expected;
+  guint lost; /* entries that may be missing afterwards */
+} damages[] = {
+  { "none", 0, 0, 0, GM_OK, 0 },
+  { "torn-record", 3, 0, 0, GM_OK, 1 },
+  { "torn-header", 0, 5, 0, GM_OK, 0 },
+  { "unwritten-blocks", 0, 4096, 0, GM_OK, 0 },
+  { "flipped-in-the-middle", 0, 0, 60, GM_CORRUPT, 0 },
+  { "flipped-in-the-last", 0, 0, 2, GM_CORRUPT, 0 },
+};
+
+static void
+damage_log (const char *path, gsize row)
+{
+  g_autofree char *file = g_build_filename (path, "log", NULL);
+  GStatBuf info;
+  g_assert_cmpint (g_stat (file, &info), ==, 0);
+  int fd = g_open (file, O_RDWR, 0);
+  off_t size = (off_t)info.st_size;
+  g_assert_cmpint (ftruncate (fd, size - damages[row].cut), ==, 0);
+  g_assert_cmpint (
+      ftruncate (fd, size - damages[row].cut + damages[row].zeros), ==, 0);
+  if (damages[row].flip > 0)
+    {
+      guint8 byte;
+      g_assert_cmpint (pread (fd, &byte, 1, size - damages[row].flip), ==, 1);
+      byte ^= 0x55;
+      g_assert_cmpint (pwrite (fd, &byte, 1, size - damages[row].flip), ==, 1);
+    }
+  close (fd);
+}
+
+static void
+test_damage (gconstpointer data)
+{
+  gsize row = GPOINTER_TO_SIZE (data);
+  GmStatus status = { GM_OK, "" };
+  Disk d = { .path = g_dir_make_tmp ("clog-XXXXXX", NULL) };
+  g_assert_cmpint (disk_open (&d, &status), ==, GM_OK);
+  g_assert_cmpint (cl_bootstrap (d.core, START, NULL), ==, GM_OK);
+  cl_tick (d.core, START);
+  append_commands (&d, 20);
+  guint64 last = cl_last_index (d.core);
+  disk_close (&d);
+  damage_log (d.path, row);
+  g_assert_cmpint (disk_open (&d, &status), ==, damages[row].expected);
+  if (damages[row].expected == GM_OK)
+    {
+      g_assert_cmpuint (cl_last_index (d.core), ==, last - damages[row].lost);
+      disk_close (&d);
+    }
+  else
+    {
+      ClStore *store = cl_file_store (d.files);
+      store->class->free (store);
+    }
+  disk_remove (&d);
+}
+
+/* A restart after thousands of changes reads a bounded log.  */
+static void
+test_many_changes (void)
+{
+  GmStatus status = { GM_OK, "" };
+  Disk d = { .path = g_dir_make_tmp ("clog-XXXXXX", NULL) };
+  g_assert_cmpint (disk_open (&d, &status), ==, GM_OK);
+  cl_bootstrap (d.core, START, NULL);
+  cl_tick (d.core, START);
+  g_autoptr (GBytes) state = g_bytes_new ("state", 5);
+  for (int i = 0; i < 30; i++)
+    {
+      append_commands (&d, 100);
+      if (cl_wants_snapshot (d.core))
+        cl_compact (d.core, state);
+    }
+  guint64 last = cl_last_index (d.core);
+  disk_close (&d);
+  g_autofree char *file = g_build_filename (d.path, "log", NULL);
+  GStatBuf info;
+  g_assert_cmpint (g_stat (file, &info), ==, 0);
+  g_assert_cmpint (info.st_size, <, 1000 * 40);
+  g_assert_cmpint (disk_open (&d, &status), ==, GM_OK);
+  g_assert_cmpuint (cl_last_index (d.core), ==, last);
+  GBytes *data;
+  guint64 index;
+  g_assert_true (cl_take_snapshot (d.core, &data, &index));
+  g_assert_true (g_bytes_equal (data, state));
+  disk_close (&d);
+  disk_remove (&d);
+}
+
+/* A full or failing disk stops the host; it answers nothing more.  */
+static void
+test_failed_sync (void)
+{
+  GmStatus status = { GM_OK, "" };
+  Disk d = { .path = g_dir_make_tmp ("clog-XXXXXX", NULL) };
+  g_assert_cmpint (disk_open (&d, &status), ==, GM_OK);
+  cl_bootstrap (d.core, START, NULL);
+  cl_tick (d.core, START);
+  append_commands (&d, 1);
+  g_autoptr (GBytes) command = g_bytes_new ("command", 7);
+  guint64 commit = cl_commit (d.core);
+  guint64 index;
+  /* The file is closed under the store, as a failing device would refuse.  */
+  for (int fd = 3; fd < 64; fd++)
+    {
+      char name[64], link[256];
+      g_snprintf (name, sizeof name, "/proc/self/fd/%d", fd);
+      ssize_t n = readlink (name, link, sizeof link - 1);
+      if (n > 4 && strncmp (link + n - 4, "/log", 4) == 0)
+        close (fd);
+    }
+  g_assert_cmpint (cl_propose (d.core, START, command, &index, &status), !=,
+                   GM_OK);
+  g_assert_cmpint (cl_failed (d.core, NULL), ==, GM_IO);
+  g_assert_cmpuint (cl_commit (d.core), ==, commit);
+  g_assert_cmpint (cl_role (d.core), !=, CL_LEADER);
+  disk_close (&d);
+  disk_remove (&d);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/clog/learner", test_learner);
+  g_test_add_func ("/clog/lost-disk", test_lost_disk);
+  g_test_add_func ("/clog/replace-twice", test_replace_twice);
+  g_test_add_func ("/clog/stamp", test_stamp);
+  g_test_add_func ("/clog/many-changes", test_many_changes);
+  g_test_add_func ("/clog/failed-sync", test_failed_sync);
+  for (gsize i = 0; i < G_N_ELEMENTS (damages); i++)
+    {
+      g_autofree char *name
+          = g_strconcat ("/clog/damage/", damages[i].name, NULL);
+      g_test_add_data_func (name, GSIZE_TO_POINTER (i), test_damage);
+    }
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test_decoders.c
@@ -0,0 +1,135 @@
+/* Every decoder against truncated, turned-over and random input: it must
+   refuse or accept, never fail otherwise.  The build with sanitizers makes
+   this sharp.  */
+#include "conf/declaration.h"
+#include "cstate/cstate.h"
+#include "dbapi/dbapi.h"
+#include "token/token.h"
+#include "wire/message.h"
+#include <string.h>
+
+#define ROUNDS 20000
+#define KEY "a key for the decoders"
+
+static WmMessage
+sample (GmRandom *r)
+{
+  static const char *const declaration
+      = "{\"number\": 1, \"groups\": [{\"name\": \"g\"}], \"services\": "
+        "[{\"name\": \"s\", \"depends_on\": [\"g\"], \"rank\": \"bulk\", "
+        "\"deadline_ms\": 5}]}";
+  WmMessage m = { .type = WM_TYPE_CMD_CONFIG };
+  m.cmd_config.number = gm_random_below (r, 3);
+  m.cmd_config.digest = g_strdup ("digest");
+  m.cmd_config.text = g_bytes_new_static (declaration, strlen (declaration));
+  m.cmd_config.who = g_strdup ("");
+  return m;
+}
+
+/* Damages LENGTH bytes of DATA and returns the new length.  */
+static gsize
+damage (GmRandom *r, guint8 *data, gsize length)
+{
+  guint64 how = gm_random_below (r, 3);
+  if (how == 0)
+    return (gsize)gm_random_below (r, length + 1);
+  for (guint i = 0; i < 1 + (how == 2 ? length / 4 : 0); i++)
+    data[gm_random_below (r, length)]
+        ^= (guint8)(1 + gm_random_below (r, 255));
+  return length;
+}
+
+static void
+try_all (const guint8 *data, gsize length)
+{
+  WmMessage m;
+  gsize at = 0;
+  DbRows rows;
+  g_autoptr (GBytes) block = g_bytes_new (data, length);
+  if (wm_decode (data, length, &m, NULL) == GM_OK)
+    wm_clear (&m);
+  while (wm_next (block, &at, &m))
+    wm_clear (&m);
+  g_autoptr (CsState) state = cs_decode (1, block);
+  g_autoptr (GPtrArray) strings = wm_strings_decode (block);
+  if (db_rows_decode (block, &rows))
+    db_rows_clear (&rows);
+  g_autofree char *text = g_strndup ((const char *)data, length);
+  g_autoptr (CfDeclaration) declaration
+      = cf_declaration_parse ("garbage", text, strlen (text), NULL);
+  g_autoptr (TkSession) token = tk_session_parse (text, KEY, NULL);
+}
+
+static void
+test_garbage (void)
+{
+  GmRandom r;
+  gm_random_seed (&r, 1);
+  WmMessage m = sample (&r);
+  g_autoptr (GByteArray) list = g_byte_array_new ();
+  wm_append (list, &m);
+  g_autoptr (GBytes) single = wm_encode (&m);
+  const char *strings[] = { "2", "a", "b", "1", NULL };
+  g_autoptr (GBytes) rows = wm_strings_encode (strings, 5);
+  const struct
+  {
+    const void *data;
+    gsize length;
+  } seeds[] = { { list->data, list->len },
+                { g_bytes_get_data (single, NULL), g_bytes_get_size (single) },
+                { g_bytes_get_data (rows, NULL), g_bytes_get_size (rows) },
+                { g_bytes_get_data (m.cmd_config.text, NULL),
+                  g_bytes_get_size (m.cmd_config.text) } };
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      gsize k = (gsize)gm_random_below (&r, G_N_ELEMENTS (seeds));
+      g_autofree guint8 *copy = g_memdup2 (seeds[k].data, seeds[k].length);
+      gsize length = damage (&r, copy, seeds[k].length);
+      try_all (copy, length);
+    }
+  wm_clear (&m);
+}
+
+/* What is done to a token's text, and whether it still counts.  */
+static const struct
+{
+  const char *name;
+  int flip; /* character turned over, from the start; -1: none */
+  const char *key;
+  gboolean good;
+} tokens[] = {
+  { "as it was", -1, KEY, TRUE },
+  { "prefix", 0, KEY, FALSE },
+  { "position", 8, KEY, FALSE },
+  { "proof", 40, KEY, FALSE },
+  { "another key", -1, "another key of them", FALSE },
+};
+
+static void
+test_tokens (void)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (tokens); i++)
+    {
+      g_autoptr (TkSession) session = tk_session_new ();
+      tk_session_raise (session, "costing", (TkPoint){ 3, 41 });
+      tk_session_raise (session, "costing", (TkPoint){ 2, 90 });
+      g_autofree char *text = tk_session_print (session, KEY);
+      if (tokens[i].flip >= 0)
+        text[tokens[i].flip] ^= 1;
+      g_autoptr (TkSession) parsed
+          = tk_session_parse (text, tokens[i].key, NULL);
+      g_assert_cmpint (parsed != NULL, ==, tokens[i].good);
+      if (parsed != NULL)
+        g_assert_cmpuint (tk_session_point (parsed, "costing").position, ==,
+                          41);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/decoders/garbage", test_garbage);
+  g_test_add_func ("/decoders/tokens", test_tokens);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test_state.c
@@ -0,0 +1,203 @@
+/* The control state and a host's copy of it.  */
+#include "clog/clog.h"
+#include "control/subscriber.h"
+#include "dispatch/group.h"
+#include <string.h>
+
+#define START (100 * GM_SECOND)
+#define LEASE (4 * GM_SECOND)
+
+static const char *const text
+    = "{\"number\": %u, \"groups\": [{\"name\": \"g\"}], \"services\": "
+      "[{\"name\": \"s\", \"depends_on\": [\"g\"], \"rank\": \"urgent\", "
+      "\"deadline_ms\": %u}]}";
+
+static WmMessage
+config (guint number, guint flavour)
+{
+  char buffer[512];
+  g_snprintf (buffer, sizeof buffer, text, number, 100 + flavour);
+  return (WmMessage){ .type = WM_TYPE_CMD_CONFIG,
+                      .cmd_config
+                      = { .number = number,
+                          .digest = cs_digest (buffer, strlen (buffer)),
+                          .text = g_bytes_new (buffer, strlen (buffer)),
+                          .who = g_strdup ("test") } };
+}
+
+/* Submissions in their order, and the answer to each.  */
+static const struct
+{
+  guint number;
+  guint flavour;
+  GmKind expected;
+  const char *says;
+} submissions[] = {
+  { 2, 0, GM_CONFLICT, "the next number is 1" },
+  { 1, 0, GM_OK, "accepted as version 2" },
+  { 1, 1, GM_CONFLICT, "was taken by the text with digest" },
+  { 1, 0, GM_OK, "accepted as version 2" },
+  { 2, 1, GM_OK, "accepted as version 5" },
+  { 1, 0, GM_OK, "accepted as version 2" },
+  { 4, 0, GM_CONFLICT, "the next number is 3" },
+};
+
+static void
+test_submissions (void)
+{
+  g_autoptr (CsState) state = cs_new ();
+  for (guint i = 0; i < G_N_ELEMENTS (submissions); i++)
+    {
+      GmStatus status = { GM_OK, "" };
+      WmMessage c = config (submissions[i].number, submissions[i].flavour);
+      g_assert_cmpint (cs_apply (state, i + 1, &c, &status), ==,
+                       submissions[i].expected);
+      g_assert_nonnull (strstr (status.message, submissions[i].says));
+      wm_clear (&c);
+    }
+  g_assert_cmpint (state->declaration->number, ==, 2);
+  g_autoptr (GBytes) block = cs_encode (state);
+  g_autoptr (CsState) copy = cs_decode (state->version, block);
+  g_autoptr (GBytes) again = cs_encode (copy);
+  g_assert_true (g_bytes_equal (block, again));
+  g_assert_cmpuint (copy->audit.length, ==, 5);
+}
+
+/* A DELTA of the configurations FIRST to LAST as versions of those numbers. */
+static WmMessage
+delta (guint first, guint last)
+{
+  GByteArray *out = g_byte_array_new ();
+  for (guint i = first; i <= last; i++)
+    {
+      WmMessage c = config (i, 0);
+      g_autoptr (GBytes) command = wm_encode (&c);
+      WmMessage entry = {
+        .type = WM_TYPE_REC_ENTRY,
+        .rec_entry
+        = { .index = i, .term = 1, .type = CL_COMMAND, .data = command }
+      };
+      wm_append (out, &entry);
+      wm_clear (&c);
+    }
+  return (WmMessage){ .type = WM_TYPE_DELTA,
+                      .delta
+                      = { .first = first,
+                          .count = last - first + 1,
+                          .commands = g_byte_array_free_to_bytes (out) } };
+}
+
+static void
+stamp (SbCore *core, GmTime now, guint64 version, GmTime age)
+{
+  WmMessage m = { .type = WM_TYPE_STAMP,
+                  .stamp = { .echo = (guint64)now,
+                             .age = (guint64)age,
+                             .version = version,
+                             .leader = (char *)"" } };
+  sb_receive (core, now, &m);
+}
+
+static void
+test_copy (void)
+{
+  SbCore *core = sb_new ("host", 3, LEASE, START);
+  sb_link_up (core, START);
+  WmMessage first = delta (1, 2);
+  g_assert_false (sb_is_fresh (core, START));
+  g_assert_true (sb_receive (core, START, &first));
+  /* Known to be behind version 3: not current.  */
+  stamp (core, START, 3, 0);
+  g_assert_false (sb_is_fresh (core, START));
+  WmMessage second = delta (3, 3);
+  sb_receive (core, START, &second);
+  stamp (core, START, 3, GM_SECOND);
+  g_assert_true (sb_is_fresh (core, START));
+  g_assert_true (sb_is_fresh (core, START + 3 * GM_SECOND));
+  g_assert_false (sb_is_fresh (core, START + 3 * GM_SECOND + 1));
+  /* An older state and a repeated delta change nothing.  */
+  g_autoptr (CsState) old = cs_new ();
+  WmMessage c = config (1, 0);
+  cs_apply (old, 1, &c, NULL);
+  g_autoptr (GBytes) block = cs_encode (old);
+  WmMessage back
+      = { .type = WM_TYPE_STATE, .state = { .version = 1, .data = block } };
+  g_assert_false (sb_receive (core, START, &back));
+  g_assert_false (sb_receive (core, START, &first));
+  g_assert_cmpuint (sb_state (core)->version, ==, 3);
+  wm_clear (&c);
+  wm_clear (&first);
+  wm_clear (&second);
+  sb_free (core);
+}
+
+static void
+test_stale_control (void)
+{
+  SbCore *core = sb_new ("host", 3, LEASE, START);
+  guint peer = sb_peer (core);
+  g_assert_cmpint (sb_tick (core, START), ==, SB_DIAL);
+  sb_link_up (core, START);
+  /* The control host answers, but its own stamp stands still.  */
+  for (GmTime t = 0; t <= SB_STAMP_STALE; t += SB_BEAT)
+    {
+      stamp (core, START + t, 0, t);
+      g_assert_cmpint (sb_tick (core, START + t), ==, SB_NOTHING);
+    }
+  g_assert_cmpint (sb_tick (core, START + SB_STAMP_STALE + SB_BEAT), ==,
+                   SB_LEAVE);
+  g_assert_cmpuint (sb_peer (core), ==, (peer + 1) % 3);
+  sb_free (core);
+}
+
+/* What a dispatcher refuses before it queues.  */
+static const struct
+{
+  const char *name;
+  const char *service;
+  guint64 transaction;
+  guint64 incarnation;
+  gboolean fresh;
+  gboolean owns;
+  GmKind expected;
+} checks[] = {
+  { "good", "s", 0, 0, TRUE, TRUE, GM_OK },
+  { "no-service", "t", 0, 0, TRUE, TRUE, GM_UNKNOWN_SERVICE },
+  { "not-owner", "s", 0, 0, TRUE, FALSE, GM_DRAINING },
+  { "stale", "s", 0, 0, FALSE, TRUE, GM_STALE },
+  { "stale-in-transaction", "s", 5, 7, FALSE, TRUE, GM_OK },
+  { "earlier-process", "s", 5, 6, TRUE, TRUE, GM_TRANSACTION_LOST },
+};
+
+static void
+test_check (void)
+{
+  DpPolicy policy = { .order = DQ_FLOORS, .admission = TRUE };
+  GpCore *group = gp_new ("g", "host", &policy, START);
+  g_autoptr (CsState) state = cs_new ();
+  WmMessage c = config (1, 0);
+  cs_apply (state, 1, &c, NULL);
+  for (gsize i = 0; i < G_N_ELEMENTS (checks); i++)
+    {
+      struct wm_exec exec = { .operation = DP_WRITE,
+                              .service = (char *)checks[i].service,
+                              .transaction = checks[i].transaction,
+                              .incarnation = checks[i].incarnation };
+      g_assert_cmpint (gp_check (checks[i].owns ? group : NULL, state,
+                                 checks[i].fresh, 7, &exec, NULL),
+                       ==, checks[i].expected);
+    }
+  wm_clear (&c);
+  gp_free (group);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/state/submissions", test_submissions);
+  g_test_add_func ("/state/copy", test_copy);
+  g_test_add_func ("/state/stale-control", test_stale_control);
+  g_test_add_func ("/state/check", test_check);
+  return g_test_run ();
+}
