--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,4 @@
 
 measure: all
 	@$(BUILD)/measure
+	@BIN=$(BUILD) tests/measure_failover.sh
--- a/cli/load.c
+++ b/cli/load.c
@@ -1,11 +1,337 @@
 #include "commands.h"
+#include "client.h"
+#include "json/json.h"
+#include "load_report.h"
+#include <argtable2.h>
+#include <math.h>
 #include <stdio.h>
+#include <string.h>
+
+#define SESSIONS 64
+#define CONNECTIONS 512
+#define DRAIN_S 10
+#define PROGRESS_MS 500
+#define RATE_MAX 100000.0
+
+/* One kind of request in the mix.  */
+typedef struct
+{
+  char *label; /* under which it is reported: a rank, usually */
+  char *service;
+  char *group;
+  char *statement;
+  char *access;
+  json_object *params; /* "$n" stands for the request's number */
+  double rate;         /* a second */
+} MixEntry;
+
+#define AT(member) G_STRUCT_OFFSET (MixEntry, member)
+
+static const JsField mix_fields[] = {
+  { "label", JS_STRING, AT (label), TRUE, 1, 32, NULL },
+  { "service", JS_STRING, AT (service), TRUE, 1, 64, NULL },
+  { "group", JS_STRING, AT (group), FALSE, 1, 64, NULL },
+  { "statement", JS_STRING, AT (statement), TRUE, 1, 65536, NULL },
+  { "access", JS_STRING, AT (access), TRUE, 1, 8, "read|write" },
+  { "params", JS_ARRAY, AT (params), FALSE, 0, 64, NULL },
+  { "rate", JS_NUMBER, AT (rate), TRUE, 0.001, RATE_MAX, NULL },
+};
+
+typedef struct
+{
+  JsDocument *document;
+  GArray *mix;        /* MixEntry */
+  GPtrArray *targets; /* char *, borrowed */
+  const char *token;
+  gboolean quiet;
+  double seconds;
+  double factor;
+  SoupSession *session;
+  GMainLoop *loop;
+  char *sessions[SESSIONS];
+  guint64 sent;
+  guint waiting;
+  gboolean stopping;
+  GTimer *clock;
+  LoadReport *report;
+} Load;
+
+/* A request under way.  */
+typedef struct
+{
+  Load *load;
+  SoupMessage *msg;
+  const MixEntry *entry;
+  guint session;
+  double started; /* seconds since the load began */
+} Shot;
+
+static char *
+shot_body (const Load *load, const MixEntry *entry)
+{
+  json_object *o = json_object_new_object ();
+  json_object *params = json_object_new_array ();
+  g_autofree char *number = g_strdup_printf ("%" G_GUINT64_FORMAT, load->sent);
+  gsize count
+      = entry->params != NULL ? json_object_array_length (entry->params) : 0;
+  for (gsize i = 0; i < count; i++)
+    {
+      const char *text = json_object_get_string (
+          json_object_array_get_idx (entry->params, i));
+      json_object_array_add (
+          params, json_object_new_string (g_strcmp0 (text, "$n") == 0 ? number
+                                          : text != NULL              ? text
+                                                                      : ""));
+    }
+  json_object_object_add (o, "service",
+                          json_object_new_string (entry->service));
+  json_object_object_add (o, "statement",
+                          json_object_new_string (entry->statement));
+  json_object_object_add (o, "access", json_object_new_string (entry->access));
+  if (entry->group != NULL)
+    json_object_object_add (o, "group", json_object_new_string (entry->group));
+  json_object_object_add (o, "params", params);
+  char *text = g_strdup (json_object_to_json_string (o));
+  json_object_put (o);
+  return text;
+}
+
+static void
+keep_token (Shot *shot)
+{
+  const char *token = soup_message_headers_get_one (
+      soup_message_get_response_headers (shot->msg), "X-Galenamount-Token");
+  char **kept = &shot->load->sessions[shot->session];
+  if (token == NULL)
+    return;
+  g_free (*kept);
+  *kept = g_strdup (token);
+}
+
+static GmKind
+kind_of (GBytes *bytes)
+{
+  gsize length;
+  const char *data = g_bytes_get_data (bytes, &length);
+  g_autofree char *text = g_strndup (data != NULL ? data : "", length);
+  ClientAnswer answer = { .body = json_tokener_parse (text) };
+  GmKind kind = gm_kind_from_text (client_text (&answer, "kind"));
+  client_answer_clear (&answer);
+  return kind;
+}
+
+static void
+shot_ended (GObject *source, GAsyncResult *result, gpointer data)
+{
+  Shot *shot = data;
+  Load *load = shot->load;
+  g_autoptr (GBytes) bytes = soup_session_send_and_read_finish (
+      SOUP_SESSION (source), result, NULL);
+  double now = g_timer_elapsed (load->clock, NULL);
+  GmKind kind = bytes != NULL ? kind_of (bytes) : GM_IO;
+  load_report_add (load->report, shot->entry->label, kind, shot->started, now);
+  if (bytes != NULL)
+    keep_token (shot);
+  load->waiting--;
+  g_object_unref (shot->msg);
+  g_free (shot);
+  if (load->stopping && load->waiting == 0)
+    g_main_loop_quit (load->loop);
+}
+
+static void
+shoot (Load *load, const MixEntry *entry)
+{
+  const char *target
+      = g_ptr_array_index (load->targets, load->sent % load->targets->len);
+  g_autofree char *uri = g_strdup_printf ("http://%s/v1/statement", target);
+  g_autofree char *body = shot_body (load, entry);
+  g_autoptr (GBytes) bytes = g_bytes_new (body, strlen (body));
+  Shot *shot = g_new0 (Shot, 1);
+  shot->load = load;
+  shot->entry = entry;
+  shot->session = (guint)g_random_int_range (0, SESSIONS);
+  shot->started = g_timer_elapsed (load->clock, NULL);
+  shot->msg = soup_message_new ("POST", uri);
+  SoupMessageHeaders *headers = soup_message_get_request_headers (shot->msg);
+  soup_message_set_request_body_from_bytes (shot->msg, "application/json",
+                                            bytes);
+  if (load->sessions[shot->session] != NULL)
+    soup_message_headers_replace (headers, "X-Galenamount-Token",
+                                  load->sessions[shot->session]);
+  if (load->token != NULL)
+    {
+      g_autofree char *bearer = g_strconcat ("Bearer ", load->token, NULL);
+      soup_message_headers_replace (headers, "Authorization", bearer);
+    }
+  load->sent++;
+  load->waiting++;
+  soup_session_send_and_read_async (
+      load->session, shot->msg, G_PRIORITY_DEFAULT, NULL, shot_ended, shot);
+}
+
+/* The arrivals of one entry of the mix: a Poisson stream that waits for no
+   answer.  */
+typedef struct
+{
+  Load *load;
+  const MixEntry *entry;
+  double next;
+} Stream;
+
+static gboolean
+stream_due (gpointer data)
+{
+  Stream *stream = data;
+  Load *load = stream->load;
+  double now = g_timer_elapsed (load->clock, NULL);
+  while (!load->stopping && stream->next <= now)
+    {
+      shoot (load, stream->entry);
+      stream->next += -log (1 - g_random_double ())
+                      / (stream->entry->rate * load->factor);
+    }
+  return load->stopping ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
+}
+
+static gboolean
+show_progress (gpointer data)
+{
+  Load *load = data;
+  double now = g_timer_elapsed (load->clock, NULL);
+  if (!load->quiet)
+    fprintf (stderr, "\r%5.1f s  sent %" G_GUINT64_FORMAT "  waiting %u   ",
+             now, load->sent, load->waiting);
+  if (now >= load->seconds)
+    load->stopping = TRUE;
+  if (load->stopping && (load->waiting == 0 || now >= load->seconds + DRAIN_S))
+    g_main_loop_quit (load->loop);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+run_load (Load *load)
+{
+  g_autoptr (GPtrArray) streams = g_ptr_array_new_with_free_func (g_free);
+  load->loop = g_main_loop_new (NULL, FALSE);
+  load->clock = g_timer_new ();
+  load->session = soup_session_new_with_options (
+      "max-conns", CONNECTIONS, "max-conns-per-host", CONNECTIONS,
+      "proxy-resolver", NULL, NULL);
+  for (guint i = 0; i < load->mix->len; i++)
+    {
+      Stream *stream = g_new0 (Stream, 1);
+      stream->load = load;
+      stream->entry = &g_array_index (load->mix, MixEntry, i);
+      g_ptr_array_add (streams, stream);
+      g_timeout_add (1, stream_due, stream);
+    }
+  g_timeout_add (PROGRESS_MS / 5, show_progress, load);
+  g_main_loop_run (load->loop);
+  if (!load->quiet)
+    fprintf (stderr, "\n");
+  load->stopping = TRUE;
+  soup_session_abort (load->session);
+}
+
+static GmKind
+read_mix (Load *load, const char *path, GmStatus *status)
+{
+  load->document = js_read (path, status);
+  if (load->document == NULL)
+    return status->kind;
+  json_object *root = js_root (load->document);
+  load->mix = g_array_new (FALSE, TRUE, sizeof (MixEntry));
+  if (!json_object_is_type (root, json_type_array)
+      || json_object_array_length (root) == 0)
+    return js_fault (load->document, "", status, "must be a list of requests");
+  for (gsize i = 0; i < json_object_array_length (root); i++)
+    {
+      g_autofree char *where = g_strdup_printf ("[%zu]", i);
+      MixEntry entry = { 0 };
+      GmKind kind = js_fields (
+          load->document, json_object_array_get_idx (root, i), where,
+          mix_fields, G_N_ELEMENTS (mix_fields), &entry, status);
+      g_array_append_val (load->mix, entry);
+      if (kind != GM_OK)
+        return kind;
+    }
+  return gm_ok (status);
+}
+
+static void
+load_clear (Load *load)
+{
+  for (guint i = 0; load->mix != NULL && i < load->mix->len; i++)
+    {
+      MixEntry *e = &g_array_index (load->mix, MixEntry, i);
+      char *strings[]
+          = { e->label, e->service, e->group, e->statement, e->access };
+      for (gsize k = 0; k < G_N_ELEMENTS (strings); k++)
+        g_free (strings[k]);
+    }
+  for (guint i = 0; i < SESSIONS; i++)
+    g_free (load->sessions[i]);
+  if (load->mix != NULL)
+    g_array_unref (load->mix);
+  js_free (load->document);
+  g_ptr_array_unref (load->targets);
+}
 
 int
 command_load (int argc, char **argv)
 {
-  (void)argc;
-  (void)argv;
-  fprintf (stderr, "load: see below\n");
-  return 2;
+  struct arg_str *hosts
+      = arg_strn ("H", "host", "IP:PORT", 1, 32, "callers' address; repeat");
+  struct arg_file *mix = arg_file1 (NULL, NULL, "MIX", "the mix file");
+  struct arg_dbl *seconds = arg_dbl0 (NULL, "seconds", "S", "length (10)");
+  struct arg_dbl *factor = arg_dbl0 (NULL, "factor", "F", "times the rates");
+  struct arg_str *token = arg_str0 (NULL, "token", "TEXT", "bearer token");
+  struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
+  struct arg_file *svg
+      = arg_file0 (NULL, "svg", "FILE", "write a histogram of latencies");
+  struct arg_lit *quiet = arg_lit0 ("q", "quiet", "no progress");
+  struct arg_lit *help = arg_lit0 (NULL, "help", "show this");
+  struct arg_end *end = arg_end (8);
+  void *table[]
+      = { hosts, mix, seconds, factor, token, json, svg, quiet, help, end };
+  int faults = arg_parse (argc, argv, table);
+  int code = 0;
+  GmStatus status = { GM_OK, "" };
+  if (help->count > 0)
+    {
+      printf ("galenamount load: sends requests at a fixed rate, waiting for "
+              "no answer\n");
+      arg_print_glossary_gnu (stdout, table);
+    }
+  else if (faults > 0)
+    {
+      arg_print_errors (stderr, end, "galenamount");
+      code = gm_kind_exit (GM_INVALID);
+    }
+  else
+    {
+      Load load = { .targets = g_ptr_array_new (),
+                    .seconds = seconds->count > 0 ? seconds->dval[0] : 10,
+                    .factor = factor->count > 0 ? factor->dval[0] : 1,
+                    .quiet = quiet->count > 0,
+                    .token = token->count > 0 ? token->sval[0] : NULL };
+      for (int i = 0; i < hosts->count; i++)
+        g_ptr_array_add (load.targets, (gpointer)hosts->sval[i]);
+      if (read_mix (&load, mix->filename[0], &status) == GM_OK)
+        {
+          load.report = load_report_new ();
+          run_load (&load);
+          load_report_print (load.report, json->count > 0);
+          if (svg->count > 0)
+            load_report_svg (load.report, svg->filename[0], &status);
+          load_report_free (load.report);
+        }
+      load_clear (&load);
+      if (status.kind != GM_OK)
+        fprintf (stderr, "galenamount: %s\n", status.message);
+      code = gm_kind_exit (status.kind);
+    }
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return code;
 }
--- /dev/null
+++ b/tests/process.sh
@@ -0,0 +1,159 @@
+#!/usr/bin/env bash
+# Real processes under signals, an emptied data folder and races.  Prints one
+# line per case; exit status 0 only if all are right.  No case depends on how
+# fast things happen, only on what must come in the end.
+set -u
+cd "$(dirname "$0")/.."
+. tests/cluster.sh
+CONTROL_HOSTS="1 2 3"
+ENTRY_HOSTS="1 2 3 4"
+passed=0 failed=0
+
+check () { # check NAME RESULT [DETAIL]
+  if [ "$2" = 0 ]; then passed=$((passed + 1)); echo "ok     $1"; else
+    failed=$((failed + 1)); echo "FAILED $1 ${3:-}"; fi
+}
+write () { run_on "$1" --service quote --session "$DIR/token" put "$2" "$3" >/dev/null 2>&1; }
+reads () { run_on "$1" --service quote --session "$DIR/token" --read get "$2" 2>/dev/null | grep -q "\"$3\""; }
+leader () { operate "$1" status 2>/dev/null | sed -n 's/^leader=host\([0-9]*\).*/\1/p'; }
+voters () { [ "$(operate "$1" status 2>/dev/null | grep -c 'role=voter settled=true')" = "$2" ]; }
+other_than () { local n; for n in 1 2 3; do [ "$n" != "$1" ] && { echo "$n"; return; }; done; }
+apply () { declaration "$2" "${3:-2000}" > "$DIR/apply.json"; operate "$1" apply "$DIR/apply.json" --who test 2>&1; }
+applied () { apply "$@" | grep -q accepted; }
+gone () { ! kill -0 "$1" 2>/dev/null; }
+
+start_system
+check start $?
+eventually 15 voters 1 3
+check three-voters $?
+eventually 10 write 1 a 1 && eventually 5 reads 2 a 1
+check read-own-write-through-another-host $?
+
+# A primary is killed.
+old=$(primary_of 1)
+kill_process "$old"
+eventually 15 write 1 a 2 && reads 3 a 2
+check primary-killed $?
+start_database "${old#db}" costing
+returned () { operate 1 status | grep "id=$1 " | grep -q role=replica; }
+eventually 15 returned "$old"
+check old-primary-returns-as-replica $?
+
+# A primary is frozen and thaws.
+old=$(primary_of 1)
+signal "$old" STOP
+eventually 15 write 2 a 3 && reads 1 a 3
+check primary-frozen $?
+signal "$old" CONT
+sleep 1
+[ "$(primary_of 1)" != "$old" ] && eventually 10 reads 3 a 3 && eventually 10 write 3 a 4
+check thawed-primary-stays-replaced $?
+
+# A request id runs once, however often it is sent.
+for i in 1 2 3; do run_on "$i" --service quote --session "$DIR/token" --request-id once-1 append ledger 5 >/dev/null; done
+out=$(run_on 2 --service quote --session "$DIR/token" --read sum ledger)
+grep -q '"sum": "5", "count": "1"' <<<"$out"
+check resent-request-runs-once $? "$out"
+run_on 1 --service quote --outcome --request-id once-1 >/dev/null
+check outcome-by-request-id $?
+
+# A transaction through several hosts; a statement after its dispatcher died.
+id=$(run_on 1 --service quote --begin | sed -n 's/^transaction=//p')
+run_on 2 --service quote --transaction "$id" append ledger 7 >/dev/null &&
+  run_on 3 --service quote --transaction "$id" --commit --session "$DIR/token" >/dev/null
+out=$(run_on 4 --service quote --session "$DIR/token" --read sum ledger)
+grep -q '"sum": "12"' <<<"$out"
+check transaction-roams $? "$out"
+owner=$(operate 1 status | sed -n 's/.*group=costing .*dispatcher=host\([0-9]*\).*/\1/p')
+id=$(run_on "$owner" --service quote --begin | sed -n 's/^transaction=//p')
+kill_process "host$owner"
+through=$(other_than "$owner")
+out=$(run_on "$through" --service quote --transaction "$id" append ledger 100 2>&1)
+grep -q -e transaction_lost -e unavailable <<<"$out"
+check transaction-lost-with-its-dispatcher $? "$out"
+eventually 15 write "$through" a 5
+check another-host-dispatches $?
+out=$(run_on "$through" --service quote --session "$DIR/token" --read sum ledger)
+grep -q '"sum": "12"' <<<"$out"
+check lost-transaction-left-nothing $? "$out"
+start_host "$owner"
+eventually 15 healthy "$owner"
+check host-returns $?
+
+# Operators race with equal numbers; the loser is told; a resend is answered.
+eventually 10 voters 1 3
+declaration 2 900 > "$DIR/one.json"
+declaration 2 901 > "$DIR/two.json"
+operate 1 apply "$DIR/one.json" --who one > "$DIR/one.out" 2>&1 & first=$!
+operate 4 apply "$DIR/two.json" --who two > "$DIR/two.out" 2>&1
+wait "$first"
+[ "$(cat "$DIR/one.out" "$DIR/two.out" | grep -c accepted)" = 1 ] && [ "$(cat "$DIR/one.out" "$DIR/two.out" | grep -c 'was taken by')" = 1 ]
+check one-of-two-operators-wins $? "$(cat "$DIR/one.out" "$DIR/two.out")"
+winner=one; grep -q accepted "$DIR/two.out" && winner=two
+[ "$(operate 2 apply "$DIR/$winner.json" 2>&1)" = "$(cat "$DIR/$winner.out")" ]
+check resend-gets-the-first-answer $?
+eventually 10 applied 3 3
+check next-number $?
+in_force () { [ "$(operate 1 status | grep -c "config_in_force=$1")" = 4 ]; }
+eventually 10 in_force 3
+check in-force-on-every-host $?
+operate 2 history | grep -q 'what=config.*outcome=conflict'
+check audit-trail $?
+
+# The control leader is frozen for longer than any lease, then thaws.
+lead=$(leader 4)
+signal "host$lead" STOP
+rest=$(other_than "$lead")
+eventually 20 applied "$rest" 4
+check leader-frozen $?
+signal "host$lead" CONT
+eventually 10 in_force 4
+check thawed-leader-goes-on $?
+
+# A control host loses its disk; it votes again only after a replace, and then
+# another one can be lost.
+lost=$(other_than "$(leader 4)")
+kill_process "host$lost"
+rm -rf "$DIR/data$lost"
+start_host "$lost"
+sleep 1.5
+operate 4 status | grep "host=host$lost role=voter" >/dev/null
+old_disk=$?
+eventually 15 operate 4 control replace "host$lost" >/dev/null 2>&1 && eventually 15 voters 4 3
+check lost-disk-replaced $(( $? + old_disk ))
+second=$(other_than "$lost")
+kill_process "host$second"
+eventually 20 applied 4 5
+check second-host-lost-after-the-repair $?
+start_host "$second"
+eventually 15 voters 4 3
+check second-host-returns $?
+
+# A planned stop under load cuts nothing off.
+drained=4
+( for i in $(seq 1 60); do run_on 1 --service recipe --read get a >/dev/null 2>>"$DIR/load.err" || echo "$i" >> "$DIR/load.bad"; done ) & load=$!
+run_on "$drained" --service margin sleep 700 > "$DIR/inflight.out" 2>&1 & inflight=$!
+sleep 0.2
+operate "$drained" drain >/dev/null
+wait "$inflight"
+check in-flight-request-finishes $? "$(cat "$DIR/inflight.out")"
+wait "${PID[host$drained]}"
+check drained-host-exits-0 $?
+unset "PID[host$drained]"
+wait "$load"
+[ ! -s "$DIR/load.bad" ]
+check no-request-cut-off $? "$(cat "$DIR/load.err" 2>/dev/null | head -3)"
+
+# Bad input at the edges.
+for body in '' '{' '{"service": 5}' '{"service": "quote", "statement": "put", "service": "quote"}' '{"service": "nobody", "statement": "x"}'; do
+  printf 'POST /v1/statement HTTP/1.0\r\nContent-Length: %s\r\n\r\n%s' "${#body}" "$body" |
+    timeout 5 bash -c "exec 3<>/dev/tcp/127.0.0.1/$((BASE + 3)); cat >&3; head -1 <&3" | grep -q ' 40[04] ' || echo "$body" >> "$DIR/bad.out"
+done
+[ ! -s "$DIR/bad.out" ]
+check bad-bodies-are-refused $? "$(cat "$DIR/bad.out" 2>/dev/null)"
+head -c 64 /dev/urandom | timeout 5 bash -c "exec 3<>/dev/tcp/127.0.0.1/$((BASE + 5)); cat >&3; cat <&3 >/dev/null"
+eventually 10 write 1 a 9
+check garbage-closes-its-link-alone $?
+
+echo "$passed passed, $failed failed"
+[ "$failed" = 0 ]
