--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,7 @@
 measure: all
 	@$(BUILD)/measure
 	@BIN=$(BUILD) tests/measure_failover.sh
+
+slopes: all
+	@$(BUILD)/slopes
+	@BIN=$(BUILD) tests/measure_slopes.sh
--- a/cli/load.c
+++ b/cli/load.c
@@ -241,7 +241,6 @@
   if (load->document == NULL)
     return status->kind;
   json_object *root = js_root (load->document);
-  load->mix = g_array_new (FALSE, TRUE, sizeof (MixEntry));
   if (!json_object_is_type (root, json_type_array)
       || json_object_array_length (root) == 0)
     return js_fault (load->document, "", status, "must be a list of requests");
@@ -262,7 +261,7 @@
 static void
 load_clear (Load *load)
 {
-  for (guint i = 0; load->mix != NULL && i < load->mix->len; i++)
+  for (guint i = 0; i < load->mix->len; i++)
     {
       MixEntry *e = &g_array_index (load->mix, MixEntry, i);
       char *strings[]
@@ -272,8 +271,7 @@
     }
   for (guint i = 0; i < SESSIONS; i++)
     g_free (load->sessions[i]);
-  if (load->mix != NULL)
-    g_array_unref (load->mix);
+  g_array_unref (load->mix);
   js_free (load->document);
   g_ptr_array_unref (load->targets);
 }
@@ -311,7 +309,8 @@
     }
   else
     {
-      Load load = { .targets = g_ptr_array_new (),
+      Load load = { .mix = g_array_new (FALSE, TRUE, sizeof (MixEntry)),
+                    .targets = g_ptr_array_new (),
                     .seconds = seconds->count > 0 ? seconds->dval[0] : 10,
                     .factor = factor->count > 0 ? factor->dval[0] : 1,
                     .quiet = quiet->count > 0,
