--- a/cli/load.c
+++ b/cli/load.c
@@ -91,6 +91,8 @@
   if (entry->group != NULL)
     json_object_object_add (o, "group", json_object_new_string (entry->group));
   json_object_object_add (o, "params", params);
+  g_autofree char *id = g_uuid_string_random ();
+  json_object_object_add (o, "request_id", json_object_new_string (id));
   char *text = g_strdup (json_object_to_json_string (o));
   json_object_put (o);
   return text;
@@ -154,6 +156,9 @@
   shot->started = g_timer_elapsed (load->clock, NULL);
   shot->msg = soup_message_new ("POST", uri);
   SoupMessageHeaders *headers = soup_message_get_request_headers (shot->msg);
+  /* The library keeps a connection for further requests only when they may be
+     repeated; the request id sees to it that a repeated one runs once.  */
+  soup_message_add_flags (shot->msg, SOUP_MESSAGE_IDEMPOTENT);
   soup_message_set_request_body_from_bytes (shot->msg, "application/json",
                                             bytes);
   if (load->sessions[shot->session] != NULL)
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -288,8 +288,7 @@
   if (m->type == WM_TYPE_STATUS_ASK)
     take_status_ask (c, link, m);
   else
-    co_receive (c->core, daemon_now (c->daemon), (guint64)g_get_real_time (),
-                number, lk_peer (link), m);
+    co_receive (c->core, daemon_now (c->daemon), number, lk_peer (link), m);
   pump (c);
 }
 
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -31,6 +31,7 @@
   GQueue sends;           /* CoSend * */
   gboolean led;
   gboolean failed;
+  GmTime expire_at; /* when the silent are looked for next */
 };
 
 static void
@@ -365,7 +366,11 @@
 decide (CoCore *core, GmTime now, guint64 wall)
 {
   WmMessage command;
-  mb_tick (core->members, now, core->state);
+  if (now >= core->expire_at)
+    {
+      core->expire_at = now + CO_EXPIRE;
+      mb_tick (core->members, now, core->state);
+    }
   fo_tick (core->failover, now, wall, core->state);
   while (mb_take_command (core->members, &command))
     propose_own (core, now, &command);
@@ -486,8 +491,8 @@
 }
 
 void
-co_receive (CoCore *core, GmTime now, guint64 wall, guint64 link,
-            const char *from, const WmMessage *m)
+co_receive (CoCore *core, GmTime now, guint64 link, const char *from,
+            const WmMessage *m)
 {
   switch (m->type)
     {
@@ -516,8 +521,8 @@
       cl_receive (core->log, now, m);
       break;
     }
-  if (core->led)
-    decide (core, now, wall);
+  /* Decisions wait for the next tick: thousands of heartbeats a second must
+     not each pay for one.  */
   pump (core, now);
 }
 
--- a/lib/control/control.h
+++ b/lib/control/control.h
@@ -11,6 +11,8 @@
 #include "failover/failover.h"
 #include "failover/members.h"
 
+#define CO_EXPIRE (100 * GM_MS) /* between two looks for the silent */
+
 typedef struct CoCore CoCore;
 
 /* A message to send: on the accepted link, or to the dialed host when link is
@@ -42,15 +44,16 @@
 const MbCore *co_members (const CoCore *core);
 gboolean co_leads (const CoCore *core);
 
-/* Takes a message that came on the accepted LINK from the host FROM.  WALL is
-   the time of day in microseconds, for the audit trail.  */
-void co_receive (CoCore *core, GmTime now, guint64 wall, guint64 link,
-                 const char *from, const WmMessage *m);
+/* Takes a message that came on the accepted LINK from the host FROM.  */
+void co_receive (CoCore *core, GmTime now, guint64 link, const char *from,
+                 const WmMessage *m);
 /* Takes an answer that came back on the link dialed to another control
    host.  */
 void co_receive_answer (CoCore *core, const WmMessage *m);
 /* Hands M to the leader; FALSE when this host leads or knows none.  */
 gboolean co_forward (CoCore *core, const WmMessage *m);
 void co_link_down (CoCore *core, guint64 link);
+/* Advances timers and decides.  WALL is the time of day in microseconds, for
+   the audit trail.  */
 void co_tick (CoCore *core, GmTime now, guint64 wall);
 gboolean co_take_send (CoCore *core, CoSend *send);
--- a/lib/json/json.c
+++ b/lib/json/json.c
@@ -15,28 +15,39 @@
   gsize length;
   gsize at;
   GmStatus *status;
+  /* A place that is known, from which later ones are counted.  */
+  gsize known_at;
+  guint known_line;
+  guint known_column;
 } Scan;
 
+/* Line and column of the scan's offset, both from 1 on.  */
 static void
-place_of (const char *text, gsize offset, guint *line, guint *column)
+place_of (Scan *s, guint *line, guint *column)
 {
-  *line = 1;
-  *column = 1;
-  for (gsize i = 0; i < offset; i++)
-    if (text[i] == '\n')
+  if (s->at < s->known_at)
+    {
+      s->known_at = 0;
+      s->known_line = 1;
+      s->known_column = 1;
+    }
+  for (; s->known_at < s->at && s->known_at < s->length; s->known_at++)
+    if (s->text[s->known_at] == '\n')
       {
-        (*line)++;
-        *column = 1;
+        s->known_line++;
+        s->known_column = 1;
       }
     else
-      (*column)++;
+      s->known_column++;
+  *line = s->known_line;
+  *column = s->known_column;
 }
 
 static gboolean
 scan_fault (Scan *s, const char *what)
 {
   guint line, column;
-  place_of (s->text, s->at, &line, &column);
+  place_of (s, &line, &column);
   gm_fail (s->status, GM_INVALID, "%s:%u:%u: %s", s->document->name, line,
            column, what);
   return FALSE;
@@ -155,7 +166,7 @@
   if (s->at >= s->length)
     return scan_fault (s, "a value is expected before the end of the text");
   guint line, column;
-  place_of (s->text, s->at, &line, &column);
+  place_of (s, &line, &column);
   guint64 place = ((guint64)line << 32) | column;
   g_hash_table_insert (s->document->places, g_strdup (path),
                        g_memdup2 (&place, sizeof place));
@@ -218,7 +229,12 @@
   document->name = g_strdup (name);
   document->places
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  Scan scan = { document, text, length, 0, status };
+  Scan scan = { .document = document,
+                .text = text,
+                .length = length,
+                .status = status,
+                .known_line = 1,
+                .known_column = 1 };
   if (!g_utf8_validate_len (text, length, NULL))
     gm_fail (status, GM_INVALID, "%s: not UTF-8 text", name);
   else if (scan_text (&scan))
