--- /dev/null
+++ b/tests/test_docs.c
@@ -0,0 +1,47 @@
+/* The catalogues in docs against the closed lists in the code.  */
+#include "base/event.h"
+#include "base/kind.h"
+#include <string.h>
+
+static char *
+page (const char *name)
+{
+  g_autofree char *path = g_build_filename (SOURCE_DIR, "docs", name, NULL);
+  char *text = NULL;
+  g_assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  return text;
+}
+
+static void
+test_events (void)
+{
+  g_autoptr (GString) list = g_string_new (NULL);
+  g_autofree char *text = page ("EVENTS.md");
+  gm_log_catalogue (list);
+  g_assert_true (g_str_has_suffix (text, list->str));
+}
+
+static void
+test_errors (void)
+{
+  static const char *const ran[] = { "yes", "no", "unknown" };
+  g_autofree char *text = page ("ERRORS.md");
+  for (int i = 0; i < GM_KIND_COUNT; i++)
+    {
+      GmKind kind = (GmKind)i;
+      g_autofree char *row = g_strdup_printf (
+          "\n| %s | %u | %d | %s |", gm_kind_text (kind), gm_kind_http (kind),
+          gm_kind_exit (kind), ran[gm_kind_ran (kind)]);
+      if (strstr (text, row) == NULL)
+        g_error ("docs/ERRORS.md lacks%s", row);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/docs/events", test_events);
+  g_test_add_func ("/docs/errors", test_errors);
+  return g_test_run ();
+}
