--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -60,6 +60,8 @@
   state->hosts = table_of (host_free);
   state->databases = table_of (database_free);
   state->groups = table_of (group_free);
+  state->owners
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   state->history = g_array_new (FALSE, TRUE, sizeof (CsHistory));
   g_array_set_clear_func (state->history, history_clear);
   g_queue_init (&state->audit);
@@ -77,6 +79,7 @@
   g_hash_table_unref (state->hosts);
   g_hash_table_unref (state->databases);
   g_hash_table_unref (state->groups);
+  g_hash_table_unref (state->owners);
   g_array_unref (state->history);
   g_queue_clear_full (&state->audit, (GDestroyNotify)audit_free);
   g_free (state);
@@ -213,6 +216,7 @@
   host->data_centre = g_strdup (c->data_centre);
   host->roles = c->roles;
   g_hash_table_replace (state->hosts, host->host, host);
+  g_hash_table_remove_all (state->owners);
   return gm_ok (outcome);
 }
 
@@ -224,6 +228,7 @@
   if (old == NULL || old->incarnation != c->incarnation)
     return gm_fail (outcome, GM_CONFLICT, "%s has started since", c->host);
   g_hash_table_remove (state->hosts, c->host);
+  g_hash_table_remove_all (state->owners);
   return gm_ok (outcome);
 }
 
@@ -525,8 +530,8 @@
   return declared != NULL ? (guint)declared->databases : 0;
 }
 
-const CsHost *
-cs_owner (const CsState *state, const char *group)
+static const CsHost *
+find_owner (const CsState *state, const char *group)
 {
   guint64 seed = gm_hash (group, strlen (group), 0);
   const CsHost *best = NULL;
@@ -549,3 +554,14 @@
     }
   return best;
 }
+
+const CsHost *
+cs_owner (const CsState *state, const char *group)
+{
+  gpointer known;
+  if (g_hash_table_lookup_extended (state->owners, group, NULL, &known))
+    return known;
+  const CsHost *owner = find_owner (state, group);
+  g_hash_table_insert (state->owners, g_strdup (group), (gpointer)owner);
+  return owner;
+}
--- a/lib/cstate/cstate.h
+++ b/lib/cstate/cstate.h
@@ -77,6 +77,7 @@
   GHashTable *groups;    /* group -> CsGroup */
   GArray *history;       /* CsHistory, by number */
   GQueue audit;          /* CsAudit *, oldest first */
+  GHashTable *owners;    /* group -> CsHost, found since hosts changed */
 } CsState;
 
 /* An empty state; free it with cs_free.  */
--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -12,7 +12,8 @@
 #include "failover/failover.h"
 #include "queue.h"
 
-#define DP_QUEUE_MAX 8192 /* requests waiting in one group */
+#define DP_SERVICE_QUEUE_MAX 2048 /* requests of one service in a lane */
+#define DP_RANK_QUEUE_MAX 16384   /* requests of one rank in a lane */
 #define DP_ANSWER_GRACE (20 * GM_MS)
 #define DP_TRANSACTION_IDLE (10 * GM_SECOND)
 #define DP_LEAVING_GRACE (5 * GM_SECOND)
--- a/lib/dispatch/queue.c
+++ b/lib/dispatch/queue.c
@@ -349,3 +349,10 @@
 {
   return queue->ranks[rank].length;
 }
+
+guint
+dq_service_length (const DqQueue *queue, CfRank rank, const char *name)
+{
+  const Service *service = find_service (&queue->ranks[rank], name);
+  return service != NULL ? service->requests.length : 0;
+}
--- a/lib/dispatch/queue.h
+++ b/lib/dispatch/queue.h
@@ -50,5 +50,7 @@
 GmTime dq_wait (const DqQueue *queue, CfRank rank, const char *service,
                 double slots);
 guint dq_length (const DqQueue *queue);
-/* Requests of RANK.  */
+/* Requests of RANK, and those of them that SERVICE has.  */
 guint dq_rank_length (const DqQueue *queue, CfRank rank);
+guint dq_service_length (const DqQueue *queue, CfRank rank,
+                         const char *service);
--- a/lib/dispatch/schedule.c
+++ b/lib/dispatch/schedule.c
@@ -9,6 +9,7 @@
 /* Share of the time left that a request may be estimated to wait: the rest
    bears the spread of service times.  */
 #define ADMIT_SHARE 0.5
+#define QUEUE_FULL_RETRY_MS 1000
 #define SPILL_WAIT_MAX (60 * GM_MS)  /* for a replica with a free slot */
 #define FRESH_WAIT_MAX (100 * GM_MS) /* for a replica to catch up */
 #define URGENT_WAIT_MAX (20 * GM_MS)
@@ -215,20 +216,31 @@
              "not run: the queue is too long for the deadline");
 }
 
+/* Bounds by service and rank, so that a flood of one fills no place of the
+   others'.  */
+static gboolean
+is_full (const DqQueue *lane, const DpRequest *request)
+{
+  const char *service = request->service != NULL ? request->service : "";
+  return dq_service_length (lane, request->rank, service)
+             >= DP_SERVICE_QUEUE_MAX
+         || dq_rank_length (lane, request->rank) >= DP_RANK_QUEUE_MAX;
+}
+
 /* Whether REQUEST may wait in its lane: refuses it, or one worth less, when
    the deadline can't be met.  */
 static gboolean
 admit (DpCore *core, GmTime now, DpRequest *request)
 {
   DqQueue *lane = lane_of (core, request);
-  if (dq_length (core->reads) + dq_length (core->writes) >= DP_QUEUE_MAX)
+  if (!core->policy.admission)
+    return TRUE;
+  if (is_full (lane, request))
     {
-      request->retry_ms = 1000;
+      request->retry_ms = QUEUE_FULL_RETRY_MS;
       dp_answer (core, request, GM_QUEUE_FULL, "not run: the queue is full");
       return FALSE;
     }
-  if (!core->policy.admission)
-    return TRUE;
   GmTime wait = dq_wait (lane, request->rank, request->service,
                          lane_slots (core, request));
   GmTime left = request->deadline - now - request->cost - usual_trip (core);
--- a/tests/measure/slopes.c
+++ b/tests/measure/slopes.c
@@ -135,6 +135,18 @@
   return (cpu_ns () - start) / 900;
 }
 
+/* Time of a look-up that was made before.  */
+static double
+known_owner_ns (guint hosts)
+{
+  g_autoptr (CsState) state = state_of (hosts, 3, 3);
+  cs_owner (state, "g1");
+  double start = cpu_ns ();
+  for (guint i = 0; i < 100000; i++)
+    g_assert_nonnull (cs_owner (state, "g1"));
+  return (cpu_ns () - start) / 100000;
+}
+
 /* The leader's cost of one heartbeat among HOSTS, and of one tick.  */
 static void
 membership (guint hosts, double *beat, double *tick)
@@ -310,6 +322,7 @@
   slope_state ("state.group_and_service", 0, 0, 900);
   print_slope ("owner_lookup.ns_per_host", 1000, 2300, owner_ns (1000),
                owner_ns (2300));
+  printf ("known_owner_lookup.ns=%.1f\n", known_owner_ns (2300));
   membership (1000, &beat[0], &tick[0]);
   membership (2300, &beat[1], &tick[1]);
   printf ("heartbeat.ns=%.1f\n", beat[1]);
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -361,6 +361,37 @@
   fixture_end (&f);
 }
 
+/* A flood of patient bulk work fills its own places only.  */
+static void
+test_flood (void)
+{
+  Fixture f;
+  fixture_start (&f);
+  guint refused = 0;
+  for (guint i = 0; i < DP_SERVICE_QUEUE_MAX + 100; i++)
+    {
+      DpRequest *r = request (&f, DP_WRITE);
+      r->rank = CF_BULK;
+      r->deadline = f.now + 600 * GM_SECOND;
+      dp_submit (f.core, f.now, r);
+      pump (&f);
+      if (f.answer == NULL)
+        continue;
+      g_assert_cmpint (f.answer->kind, ==, GM_QUEUE_FULL);
+      g_clear_pointer (&f.answer, dp_request_free);
+      refused++;
+    }
+  g_assert_cmpuint (refused, >, 0);
+  DpRequest *r = request (&f, DP_WRITE);
+  r->rank = CF_URGENT;
+  dp_submit (f.core, f.now, r);
+  pump (&f);
+  g_assert_null (f.answer);
+  done (&f, GM_OK, 1, 11, FALSE);
+  g_assert_true (f.last_run.request == r);
+  fixture_end (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -380,5 +411,6 @@
   g_test_add_func ("/dispatch/transaction", test_transaction);
   g_test_add_func ("/dispatch/late-answer", test_late_answer);
   g_test_add_func ("/dispatch/leaving", test_leaving);
+  g_test_add_func ("/dispatch/flood", test_flood);
   return g_test_run ();
 }
