--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PACKAGES = gcc cmake make pkg-config clang-format clang-tidy libglib2.0-dev \
   libsoup-3.0-dev libjson-c-dev libpq-dev libmsgpack-dev libargtable2-dev \
-  liblog4c-dev glib-networking
+  liblog4c-dev glib-networking openssl
 BUILD ?= build
 SEED ?= 1
 STEPS ?= 20000
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -295,7 +295,8 @@
 void
 control_link_down (Control *c, guint64 number)
 {
-  co_link_down (c->core, number);
+  co_link_down (c->core, daemon_now (c->daemon), number);
+  pump (c);
 }
 
 static void
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -550,7 +550,8 @@
   Entry *entry = data;
   GmStatus status;
   gm_count (GM_M_requests_total, 1);
-  if (!http_authorized (msg, entry->daemon->settings->caller_token))
+  if (http_is_refused (msg)
+      || !http_authorized (msg, entry->daemon->settings->caller_token))
     return;
   GmKind kind = check_state (entry, msg, &status);
   if (kind == GM_OK)
@@ -629,6 +630,8 @@
   Entry *entry = data;
   GmStatus status;
   Announcement a = { 0 };
+  if (http_is_refused (msg))
+    return;
   g_autoptr (GBytes) bytes
       = soup_message_body_flatten (soup_server_message_get_request_body (msg));
   gsize length;
--- a/daemon/http.c
+++ b/daemon/http.c
@@ -1,8 +1,10 @@
 #include "http.h"
+#include "base/bytes.h"
 #include <gio/gio.h>
 #include <string.h>
 
 #define BACKLOG 1024
+#define OVERRUN_MAX 16 /* times the bound that is read after a refusal */
 
 GmKind
 http_listen (SoupServer *server, CfAddress *address, GmStatus *status)
@@ -77,11 +79,8 @@
   const char *given = soup_message_headers_get_one (
       soup_server_message_get_request_headers (msg), "Authorization");
   g_autofree char *wanted = g_strconcat ("Bearer ", token, NULL);
-  gsize length = strlen (wanted);
-  guint8 difference = given == NULL || strlen (given) != length;
-  for (gsize i = 0; difference == 0 && i < length; i++)
-    difference |= (guint8)(given[i] ^ wanted[i]);
-  if (difference == 0)
+  if (given != NULL
+      && gm_same_secret (wanted, strlen (wanted), given, strlen (given)))
     return TRUE;
   http_answer (msg, GM_UNAUTHORIZED, "a bearer token is needed", NULL);
   return FALSE;
@@ -93,6 +92,15 @@
   http_answer (msg, GM_TOO_LARGE, "the body is over the limit", NULL);
   soup_message_headers_replace (soup_server_message_get_response_headers (msg),
                                 "Connection", "close");
+  /* The rest is read, so that the answer arrives, but not kept.  */
+  soup_message_body_set_accumulate (soup_server_message_get_request_body (msg),
+                                    FALSE);
+}
+
+gboolean
+http_is_refused (SoupServerMessage *msg)
+{
+  return soup_server_message_get_status (msg) != SOUP_STATUS_NONE;
 }
 
 static void
@@ -105,13 +113,18 @@
     refuse_large (msg);
 }
 
-/* A chunked body announces no length: what has come is counted.  */
+/* A chunked body announces no length: what has come is counted.  One that goes
+   on long after its refusal is cut off.  */
 static void
 got_chunk (SoupServerMessage *msg, GBytes *chunk, gpointer data)
 {
   const CfSettings *settings = data;
-  (void)chunk;
-  if (soup_server_message_get_request_body (msg)->length > settings->body_max)
+  gsize got = GPOINTER_TO_SIZE (g_object_get_data (G_OBJECT (msg), "got"))
+              + g_bytes_get_size (chunk);
+  g_object_set_data (G_OBJECT (msg), "got", GSIZE_TO_POINTER (got));
+  if (got > (gsize)settings->body_max && !http_is_refused (msg))
+    refuse_large (msg);
+  if (got > OVERRUN_MAX * (gsize)settings->body_max)
     g_socket_close (soup_server_message_get_socket (msg), NULL);
 }
 
--- a/daemon/http.h
+++ b/daemon/http.h
@@ -18,5 +18,7 @@
 /* Whether MSG carries TOKEN as bearer token; TRUE when TOKEN is NULL.  Answers
    MSG when it doesn't.  */
 gboolean http_authorized (SoupServerMessage *msg, const char *token);
-/* Closes connections whose headers announce more than MAX bytes of body.  */
+/* Whether MSG was answered before its handler saw it.  */
+gboolean http_is_refused (SoupServerMessage *msg);
+/* Refuses bodies over the settings' bound.  */
 void http_bound_bodies (SoupServer *server, const CfSettings *settings);
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -144,7 +144,8 @@
   (void)server;
   Operator *op = data;
   GmStatus status;
-  if (!http_authorized (msg, op->daemon->settings->operator_token))
+  if (http_is_refused (msg)
+      || !http_authorized (msg, op->daemon->settings->operator_token))
     return;
   if (route (op, msg, path, query, &status) != GM_OK)
     http_answer (msg, status.kind, status.message, NULL);
--- a/lib/clog/clog.c
+++ b/lib/clog/clog.c
@@ -1,4 +1,5 @@
 #include "clog.h"
+#include "base/bytes.h"
 #include "base/mutant.h"
 #include <string.h>
 
@@ -453,14 +454,6 @@
   return progress;
 }
 
-static int
-compare_descending (gconstpointer a, gconstpointer b)
-{
-  guint64 x = *(const guint64 *)a;
-  guint64 y = *(const guint64 *)b;
-  return x < y ? 1 : x > y ? -1 : 0;
-}
-
 /* The greatest value that a majority of voters has reached; SELF is this
    host's own, OFFSET names the guint64 of Progress that counts.  */
 static guint64
@@ -478,10 +471,7 @@
                                  offset);
       g_array_append_val (values, value);
     }
-  if (values->len == 0)
-    return 0;
-  g_array_sort (values, compare_descending);
-  return g_array_index (values, guint64, values->len / 2);
+  return gm_nth_largest (values, values->len / 2);
 }
 
 static GmTime
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -8,6 +8,7 @@
 {
   guint64 link;
   char *host;
+  guint64 incarnation;
   guint64 sent; /* version up to which it was sent the state */
 } Subscriber;
 
@@ -428,6 +429,7 @@
   Subscriber *s = g_new0 (Subscriber, 1);
   s->link = link;
   s->host = g_strdup (beat->host);
+  s->incarnation = beat->incarnation;
   s->sent = GM_MUTANT (GO_BACK) ? 0 : beat->version;
   g_ptr_array_add (core->subscribers, s);
   return s;
@@ -490,6 +492,17 @@
   answer_proposal (core, link, v->host, v->sequence, &status, 0);
 }
 
+/* A control host tells that the link of one of its subscribers closed.  */
+static void
+take_link_lost (CoCore *core, GmTime now, const WmMessage *m)
+{
+  if (core->led)
+    mb_link_lost (core->members, now, core->state, m->cmd_host_down.host,
+                  m->cmd_host_down.incarnation);
+  else
+    co_forward (core, m);
+}
+
 void
 co_receive (CoCore *core, GmTime now, guint64 link, const char *from,
             const WmMessage *m)
@@ -505,6 +518,9 @@
     case WM_TYPE_VOTER:
       take_voter (core, now, link, m);
       break;
+    case WM_TYPE_CMD_HOST_DOWN:
+      take_link_lost (core, now, m);
+      break;
     case WM_TYPE_CMD_DATABASE:
       if (core->led)
         mb_database (core->members, now, core->state, &m->cmd_database);
@@ -541,11 +557,17 @@
 }
 
 void
-co_link_down (CoCore *core, guint64 link)
+co_link_down (CoCore *core, GmTime now, guint64 link)
 {
   Subscriber *s = find_subscriber (core, link);
   if (s != NULL)
-    g_ptr_array_remove (core->subscribers, s);
+    {
+      WmMessage m = { .type = WM_TYPE_CMD_HOST_DOWN,
+                      .cmd_host_down
+                      = { .host = s->host, .incarnation = s->incarnation } };
+      take_link_lost (core, now, &m);
+      g_ptr_array_remove (core->subscribers, s);
+    }
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, core->proposals);
--- a/lib/control/control.h
+++ b/lib/control/control.h
@@ -52,7 +52,7 @@
 void co_receive_answer (CoCore *core, const WmMessage *m);
 /* Hands M to the leader; FALSE when this host leads or knows none.  */
 gboolean co_forward (CoCore *core, const WmMessage *m);
-void co_link_down (CoCore *core, guint64 link);
+void co_link_down (CoCore *core, GmTime now, guint64 link);
 /* Advances timers and decides.  WALL is the time of day in microseconds, for
    the audit trail.  */
 void co_tick (CoCore *core, GmTime now, guint64 wall);
--- a/lib/dispatch/database.c
+++ b/lib/dispatch/database.c
@@ -1,4 +1,5 @@
 #include "core.h"
+#include "base/bytes.h"
 #include "base/mutant.h"
 #include <string.h>
 
@@ -280,14 +281,6 @@
              && point.position <= core->confirmed.position);
 }
 
-static int
-compare_descending (gconstpointer a, gconstpointer b)
-{
-  guint64 x = *(const guint64 *)a;
-  guint64 y = *(const guint64 *)b;
-  return x < y ? 1 : x > y ? -1 : 0;
-}
-
 /* Recomputes the position held by a majority in the current term.  A replica
    counts only once its log ends in that term: before, its position may be of
    entries that the new primary doesn't have.  */
@@ -303,10 +296,7 @@
           && (dp_is_aligned (core, &d->status) || GM_MUTANT (OLD_TERM_ACK)))
         g_array_append_val (held, d->status.received);
     }
-  g_array_sort (held, compare_descending);
-  guint needed = core->copies / 2 + 1;
-  guint64 position
-      = held->len >= needed ? g_array_index (held, guint64, needed - 1) : 0;
+  guint64 position = gm_nth_largest (held, core->copies / 2);
   gboolean moved = core->confirmed.term != core->term
                    || position > core->confirmed.position;
   if (core->confirmed.term != core->term)
--- a/lib/failover/failover.c
+++ b/lib/failover/failover.c
@@ -47,20 +47,13 @@
 gboolean
 fo_take_command (FoCore *core, WmMessage *command)
 {
-  WmMessage *first = g_queue_pop_head (&core->commands);
-  if (first == NULL)
-    return FALSE;
-  *command = *first;
-  g_free (first);
-  return TRUE;
+  return wm_queue_take (&core->commands, command);
 }
 
 void
 fo_lead (FoCore *core)
 {
-  WmMessage command;
-  while (fo_take_command (core, &command))
-    wm_clear (&command);
+  wm_queue_clear (&core->commands);
   g_hash_table_remove_all (core->reports);
 }
 
@@ -72,14 +65,6 @@
   g_free (core);
 }
 
-static void
-push_command (FoCore *core, const WmMessage *command)
-{
-  WmMessage *copy = g_new (WmMessage, 1);
-  wm_copy (copy, command);
-  g_queue_push_tail (&core->commands, copy);
-}
-
 static Report *
 report_of (FoCore *core, const char *group)
 {
@@ -207,7 +192,7 @@
                                       .term = highest_term (group, report) + 1,
                                       .reason = (char *)reason,
                                       .when = when } };
-  push_command (core, &command);
+  wm_queue_put (&core->commands, &command);
 }
 
 static gboolean
@@ -294,7 +279,7 @@
                                          .term = group->term,
                                          .id = best->id,
                                          .when = when } };
-  push_command (core, &command);
+  wm_queue_put (&core->commands, &command);
 }
 
 void
--- a/lib/failover/members.c
+++ b/lib/failover/members.c
@@ -31,39 +31,18 @@
 gboolean
 mb_take_command (MbCore *core, WmMessage *command)
 {
-  WmMessage *first = g_queue_pop_head (&core->commands);
-  if (first == NULL)
-    return FALSE;
-  *command = *first;
-  g_free (first);
-  return TRUE;
-}
-
-static void
-drop_commands (MbCore *core)
-{
-  WmMessage command;
-  while (mb_take_command (core, &command))
-    wm_clear (&command);
+  return wm_queue_take (&core->commands, command);
 }
 
 void
 mb_free (MbCore *core)
 {
-  drop_commands (core);
+  wm_queue_clear (&core->commands);
   g_hash_table_unref (core->hosts);
   g_hash_table_unref (core->databases);
   g_free (core);
 }
 
-static void
-push_command (MbCore *core, const WmMessage *command)
-{
-  WmMessage *copy = g_new (WmMessage, 1);
-  wm_copy (copy, command);
-  g_queue_push_tail (&core->commands, copy);
-}
-
 static Hearing *
 hear (GHashTable *table, const char *name, GmTime now)
 {
@@ -91,7 +70,7 @@
 void
 mb_lead (MbCore *core, GmTime now, const CsState *state)
 {
-  drop_commands (core);
+  wm_queue_clear (&core->commands);
   g_hash_table_remove_all (core->hosts);
   g_hash_table_remove_all (core->databases);
   GHashTableIter iter;
@@ -129,7 +108,18 @@
                                       .link = beat->link,
                                       .data_centre = beat->data_centre,
                                       .roles = roles } };
-  push_command (core, &command);
+  wm_queue_put (&core->commands, &command);
+}
+
+void
+mb_link_lost (MbCore *core, GmTime now, const CsState *state, const char *host,
+              guint64 incarnation)
+{
+  const CsHost *known = g_hash_table_lookup (state->hosts, host);
+  Hearing *hearing = g_hash_table_lookup (core->hosts, host);
+  if (known == NULL || known->incarnation != incarnation || hearing == NULL)
+    return;
+  hearing->heard = MIN (hearing->heard, now - MB_HOST_SILENCE + MB_LINK_GRACE);
 }
 
 static gboolean
@@ -161,7 +151,7 @@
     return;
   WmMessage command = { .type = WM_TYPE_CMD_DATABASE };
   command.cmd_database = *announced;
-  push_command (core, &command);
+  wm_queue_put (&core->commands, &command);
 }
 
 static void
@@ -181,7 +171,7 @@
           = { .type = WM_TYPE_CMD_HOST_DOWN,
               .cmd_host_down
               = { .host = host->host, .incarnation = host->incarnation } };
-      push_command (core, &command);
+      wm_queue_put (&core->commands, &command);
     }
 }
 
@@ -202,7 +192,7 @@
           = { .type = WM_TYPE_CMD_DATABASE_DOWN,
               .cmd_database_down
               = { .id = database->id, .incarnation = database->incarnation } };
-      push_command (core, &command);
+      wm_queue_put (&core->commands, &command);
     }
 }
 
--- a/lib/failover/members.h
+++ b/lib/failover/members.h
@@ -7,6 +7,9 @@
 #include "cstate/cstate.h"
 
 #define MB_HOST_SILENCE (1500 * GM_MS)
+/* A host whose link closed has this long to be heard through another control
+   host.  */
+#define MB_LINK_GRACE (500 * GM_MS)
 #define MB_DATABASE_SILENCE (5 * GM_SECOND)
 #define MB_REPROPOSE (500 * GM_MS)
 
@@ -20,6 +23,9 @@
 /* Takes a subscriber's heartbeat.  */
 void mb_host (MbCore *core, GmTime now, const CsState *state,
               const struct wm_subscribe *beat);
+/* The link of HOST's process INCARNATION to its control host closed.  */
+void mb_link_lost (MbCore *core, GmTime now, const CsState *state,
+                   const char *host, guint64 incarnation);
 /* Takes a database's announcement.  */
 void mb_database (MbCore *core, GmTime now, const CsState *state,
                   const struct wm_cmd_database *announced);
--- a/lib/token/token.c
+++ b/lib/token/token.c
@@ -1,4 +1,5 @@
 #include "token.h"
+#include "base/bytes.h"
 #include "base/mutant.h"
 #include "wire/message.h"
 #include <string.h>
@@ -44,18 +45,6 @@
   return g_base64_encode (digest, length);
 }
 
-static gboolean
-equal_in_constant_time (const char *a, const char *b)
-{
-  gsize la = strlen (a);
-  if (la != strlen (b))
-    return FALSE;
-  guint8 difference = 0;
-  for (gsize i = 0; i < la; i++)
-    difference |= (guint8)(a[i] ^ b[i]);
-  return difference == 0;
-}
-
 char *
 tk_sign (const char *purpose, const char *text, const char *key)
 {
@@ -71,7 +60,7 @@
     return NULL;
   char *text = g_strndup (signed_text, (gsize)(dot - signed_text));
   g_autofree char *expected = digest_of (purpose, text, key);
-  if (!equal_in_constant_time (expected, dot + 1))
+  if (!gm_same_secret (expected, strlen (expected), dot + 1, strlen (dot + 1)))
     g_clear_pointer (&text, g_free);
   return text;
 }
--- a/lib/wire/link.c
+++ b/lib/wire/link.c
@@ -1,4 +1,5 @@
 #include "link.h"
+#include "base/bytes.h"
 #include "base/event.h"
 #include <gio/gio.h>
 #include <string.h>
@@ -133,6 +134,15 @@
   link_flush (link);
 }
 
+static gboolean
+same_proof (GBytes *expected, GBytes *given)
+{
+  gsize a, b;
+  const void *x = g_bytes_get_data (expected, &a);
+  const void *y = g_bytes_get_data (given, &b);
+  return gm_same_secret (x, a, y, b);
+}
+
 /* The proof that one end of the shake knows the key.  */
 static GBytes *
 proof_of (const LkIdentity *self, const char *role, const void *first,
@@ -150,18 +160,6 @@
   return g_bytes_new (digest, length);
 }
 
-static gboolean
-same_bytes (GBytes *a, GBytes *b)
-{
-  gsize la, lb;
-  const guint8 *pa = g_bytes_get_data (a, &la);
-  const guint8 *pb = g_bytes_get_data (b, &lb);
-  guint8 difference = la != lb;
-  for (gsize i = 0; i < MIN (la, lb); i++)
-    difference |= pa[i] ^ pb[i];
-  return difference == 0;
-}
-
 static void
 fill_nonce (guint8 *nonce)
 {
@@ -225,7 +223,7 @@
   const void *theirs = g_bytes_get_data (m->hello.nonce, NULL);
   g_autoptr (GBytes) expected
       = proof_of (link->self, "hello", link->nonce, theirs, m->hello.host);
-  if (!same_bytes (expected, m->hello.proof))
+  if (!same_proof (expected, m->hello.proof))
     {
       link_refuse (link, "a host that dialed does not know the cluster key");
       return;
@@ -245,7 +243,7 @@
 {
   g_autoptr (GBytes) expected = proof_of (
       link->self, "welcome", link->their_nonce, link->nonce, m->welcome.host);
-  if (!same_bytes (expected, m->welcome.proof))
+  if (!same_proof (expected, m->welcome.proof))
     link_refuse (link, "a dialed host does not know the cluster key");
   else
     link_came_up (link, m->welcome.host, m->welcome.incarnation);
--- a/lib/wire/message.c
+++ b/lib/wire/message.c
@@ -227,6 +227,33 @@
   types[from->type].copy (to, from);
 }
 
+void
+wm_queue_put (GQueue *queue, const WmMessage *message)
+{
+  WmMessage *copy = g_new (WmMessage, 1);
+  wm_copy (copy, message);
+  g_queue_push_tail (queue, copy);
+}
+
+gboolean
+wm_queue_take (GQueue *queue, WmMessage *message)
+{
+  WmMessage *first = g_queue_pop_head (queue);
+  if (first == NULL)
+    return FALSE;
+  *message = *first;
+  g_free (first);
+  return TRUE;
+}
+
+void
+wm_queue_clear (GQueue *queue)
+{
+  WmMessage message;
+  while (wm_queue_take (queue, &message))
+    wm_clear (&message);
+}
+
 GBytes *
 wm_strings_encode (const char *const *strings, guint count)
 {
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -213,6 +213,12 @@
 /* Copies FROM into TO, which must hold nothing.  */
 void wm_copy (WmMessage *to, const WmMessage *from);
 
+/* Queues of messages on the heap: put a copy at the end, take the first (FALSE
+   when there is none; the taker clears it), drop all.  */
+void wm_queue_put (GQueue *queue, const WmMessage *message);
+gboolean wm_queue_take (GQueue *queue, WmMessage *message);
+void wm_queue_clear (GQueue *queue);
+
 /* Encodes COUNT strings as a block; NULL strings stay NULL.  */
 GBytes *wm_strings_encode (const char *const *strings, guint count);
 /* Decodes a block of strings into an array that owns them, or NULL.  */
--- a/tests/fuzz/network.c
+++ b/tests/fuzz/network.c
@@ -39,7 +39,7 @@
       return;
     }
   if (c->host == link->to && h->control != NULL)
-    co_link_down (h->control, link->number);
+    co_link_down (h->control, now, link->number);
   if (c->host == link->from && link->purpose == LINK_SUBSCRIPTION
       && h->subscription == link)
     {
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -144,15 +144,57 @@
 [ ! -s "$DIR/load.bad" ]
 check no-request-cut-off $? "$(cat "$DIR/load.err" 2>/dev/null | head -3)"
 
+# A transaction on a host that is being stopped still ends.
+owner=$(operate 1 status | sed -n 's/.*group=costing .*dispatcher=host\([0-9]*\).*/\1/p')
+through=$(other_than "$owner")
+id=$(run_on "$through" --service quote --begin | sed -n 's/^transaction=//p')
+operate "$owner" drain >/dev/null
+run_on "$through" --service quote --transaction "$id" append ledger 30 >/dev/null &&
+  run_on "$through" --service quote --transaction "$id" --commit --session "$DIR/token" >/dev/null
+check transaction-ends-during-a-drain $?
+wait "${PID[host$owner]}"
+check its-host-exits-0 $?
+out=$(run_on "$through" --service quote --session "$DIR/token" --read sum ledger)
+grep -q '"sum": "42"' <<<"$out"
+check its-postings-are-there $? "$out"
+write_settings "$owner" '"control", "entry", "dispatcher"'
+sed -i "s|\"limits\"|\"tokens\": {\"caller\": \"a token for callers\", \"operator\": \"a token for operators\"}, \"tls\": {\"certificate\": \"$DIR/cert.pem\", \"key\": \"$DIR/key.pem\"}, \"limits\"|" "$DIR/host$owner.json"
+openssl req -x509 -newkey rsa:2048 -nodes -subj /CN=localhost -days 2 -keyout "$DIR/key.pem" -out "$DIR/cert.pem" >/dev/null 2>&1
+start_host "$owner"
+
+# A host with TLS and tokens: FIRST-LINE PORT HEADER.
+secure () {
+  printf 'GET %s HTTP/1.0\r\n%s\r\n' "$1" "${3:+$3
+}" | sed 's/$/\r/; s/\r\r$/\r/' |
+    timeout 5 openssl s_client -quiet -verify_quiet -connect "127.0.0.1:$2" 2>/dev/null | head -1
+}
+secure_is () { secure "$2" "$3" "${4:-}" | grep -q " $1 "; }
+eventually 15 secure_is 200 /health "$((BASE + owner * 3))"
+check tls-health $?
+secure_is 401 /v1/status "$((BASE + owner * 3 + 1))"
+check operators-edge-wants-its-token $?
+secure_is 401 /v1/status "$((BASE + owner * 3 + 1))" "Authorization: Bearer a token for callers"
+check callers-token-is-no-operators $?
+secure_is 200 /v1/status "$((BASE + owner * 3 + 1))" "Authorization: Bearer a token for operators"
+check operators-token $?
+
 # Bad input at the edges.
 for body in '' '{' '{"service": 5}' '{"service": "quote", "statement": "put", "service": "quote"}' '{"service": "nobody", "statement": "x"}'; do
   printf 'POST /v1/statement HTTP/1.0\r\nContent-Length: %s\r\n\r\n%s' "${#body}" "$body" |
-    timeout 5 bash -c "exec 3<>/dev/tcp/127.0.0.1/$((BASE + 3)); cat >&3; head -1 <&3" | grep -q ' 40[04] ' || echo "$body" >> "$DIR/bad.out"
+    timeout 5 bash -c "exec 3<>/dev/tcp/127.0.0.1/$((BASE + through * 3)); cat >&3; head -1 <&3" | grep -q ' 40[04] ' || echo "$body" >> "$DIR/bad.out"
 done
+head -c 300000 /dev/zero | tr '\0' x > "$DIR/large"
+exec 5<>"/dev/tcp/127.0.0.1/$((BASE + through * 3))"
+{ printf 'POST /v1/statement HTTP/1.0\r\nContent-Length: 300000\r\n\r\n'; cat "$DIR/large"; } >&5 2>/dev/null &
+sender=$!
+timeout 5 head -1 <&5 | grep -q ' 413 ' || echo large >> "$DIR/bad.out"
+exec 5>&-
+wait "$sender" 2>/dev/null
 [ ! -s "$DIR/bad.out" ]
 check bad-bodies-are-refused $? "$(cat "$DIR/bad.out" 2>/dev/null)"
-head -c 64 /dev/urandom | timeout 5 bash -c "exec 3<>/dev/tcp/127.0.0.1/$((BASE + 5)); cat >&3; cat <&3 >/dev/null"
-eventually 10 write 1 a 9
+head -c 64 /dev/urandom | timeout 5 bash -c "exec 3<>/dev/tcp/127.0.0.1/$((BASE + through * 3 + 2)); cat >&3; cat <&3 >/dev/null" 2>/dev/null
+metric () { exec 4<>"/dev/tcp/127.0.0.1/$((BASE + through * 3 + 1))"; printf 'GET /metrics HTTP/1.0\r\n\r\n' >&4; sed -n "s/^galenamount_$1 \([0-9]*\).*/\1/p" <&4; exec 4>&-; }
+[ "$(metric frames_bad_total)" -gt 0 ] && eventually 10 write "$through" a 9
 check garbage-closes-its-link-alone $?
 
 echo "$passed passed, $failed failed"
