--- /dev/null
+++ b/lib/clog/change.c
@@ -0,0 +1,90 @@
+#include "core.h"
+#include "base/mutant.h"
+#include <string.h>
+
+static GmKind
+change_members (ClCore *core, GmTime now, GPtrArray *members, GmStatus *status)
+{
+  g_autoptr (GPtrArray) owned = members;
+  if (core->members_index > core->commit || !cl_commits_own_term (core))
+    return gm_fail (status, GM_UNAVAILABLE,
+                    "another change of the control hosts is under way");
+  g_autoptr (GBytes) data = cl_members_encode (owned);
+  if (!cl_append_one (core, CL_MEMBERS, data))
+    return cl_failed (core, status);
+  cl_broadcast (core, now);
+  cl_advance_commit (core, now);
+  return gm_ok (status);
+}
+
+void
+cl_promote_learner (ClCore *core, GmTime now, const ClMember *member)
+{
+  const ClProgress *progress = cl_progress_of (core, member->host);
+  if (member->voter || progress->match < core->commit
+      || core->members_index > core->commit || !cl_commits_own_term (core))
+    return;
+  GPtrArray *members = cl_members_copy (core->members);
+  cl_find_member (members, member->host)->voter = TRUE;
+  change_members (core, now, members, NULL);
+}
+
+void
+cl_receive_join (ClCore *core, GmTime now, const struct wm_join *m)
+{
+  if (core->role != CL_LEADER
+      || cl_known_member (core, m->from, m->disk) != NULL)
+    return;
+  ClMember *asking = cl_member_new (m->from, m->disk, m->address, FALSE);
+  g_hash_table_replace (core->joining, asking->host, asking);
+  /* A host that was never a member joins by itself; a host with another disk
+     waits for an operator, who knows whether the old one is lost.  */
+  if (cl_find_member (core->members, m->from) == NULL)
+    cl_admit (core, now, m->from, NULL);
+}
+
+GmKind
+cl_admit (ClCore *core, GmTime now, const char *host, GmStatus *status)
+{
+  if (core->role != CL_LEADER)
+    return gm_fail (status, GM_UNAVAILABLE, "this host does not lead");
+  const ClMember *asking = g_hash_table_lookup (core->joining, host);
+  if (asking == NULL)
+    return gm_fail (status, GM_NOT_FOUND, "%s has not asked to join", host);
+  /* It may have asked an earlier leader too, which has admitted it.  */
+  if (cl_known_member (core, asking->host, asking->disk) != NULL)
+    {
+      g_hash_table_remove (core->joining, host);
+      return gm_ok (status);
+    }
+  GPtrArray *members = cl_members_copy (core->members);
+  ClMember *old = cl_find_member (members, host);
+  if (old != NULL)
+    g_ptr_array_remove (members, old);
+  g_ptr_array_add (members,
+                   cl_member_new (asking->host, asking->disk, asking->address,
+                                  GM_MUTANT (LEARNER_VOTES)));
+  GmKind kind = change_members (core, now, members, status);
+  if (kind != GM_OK)
+    return kind;
+  g_hash_table_remove (core->progress, host);
+  g_hash_table_remove (core->joining, host);
+  return kind;
+}
+
+GmKind
+cl_remove (ClCore *core, GmTime now, const char *host, GmStatus *status)
+{
+  if (core->role != CL_LEADER)
+    return gm_fail (status, GM_UNAVAILABLE, "this host does not lead");
+  GPtrArray *members = cl_members_copy (core->members);
+  ClMember *old = cl_find_member (members, host);
+  if (old == NULL || members->len == 1 || strcmp (host, core->host) == 0)
+    {
+      g_ptr_array_unref (members);
+      return gm_fail (status, GM_NOT_FOUND,
+                      "%s is not a control host that can be removed", host);
+    }
+  g_ptr_array_remove (members, old);
+  return change_members (core, now, members, status);
+}
--- /dev/null
+++ b/lib/clog/replicate.c
@@ -0,0 +1,381 @@
+#include "core.h"
+#include "base/bytes.h"
+#include "base/mutant.h"
+#include <string.h>
+
+ClProgress *
+cl_progress_of (ClCore *core, const char *host)
+{
+  ClProgress *progress = g_hash_table_lookup (core->progress, host);
+  if (progress == NULL)
+    {
+      progress = g_new0 (ClProgress, 1);
+      progress->next = cl_last_index (core) + 1;
+      g_hash_table_insert (core->progress, g_strdup (host), progress);
+    }
+  return progress;
+}
+
+/* The greatest value that a majority of voters has reached; SELF is this
+   host's own, OFFSET names the guint64 of ClProgress that counts.  */
+static guint64
+majority_value (ClCore *core, guint64 self, gsize offset)
+{
+  g_autoptr (GArray) values = g_array_new (FALSE, FALSE, sizeof (guint64));
+  for (guint i = 0; i < core->members->len; i++)
+    {
+      const ClMember *member = g_ptr_array_index (core->members, i);
+      if (!member->voter)
+        continue;
+      guint64 value = self;
+      if (strcmp (member->host, core->host) != 0)
+        value = G_STRUCT_MEMBER (guint64, cl_progress_of (core, member->host),
+                                 offset);
+      g_array_append_val (values, value);
+    }
+  return gm_nth_largest (values, values->len / 2);
+}
+
+GmTime
+cl_confirmed_at (ClCore *core, GmTime now)
+{
+  return (GmTime)majority_value (core, (guint64)now,
+                                 G_STRUCT_OFFSET (ClProgress, acked));
+}
+
+gboolean
+cl_commits_own_term (const ClCore *core)
+{
+  return cl_term_at (core, core->commit) == core->term;
+}
+
+static GBytes *
+batch_from (const ClCore *core, guint64 first, guint64 to)
+{
+  GByteArray *out = g_byte_array_new ();
+  for (guint64 i = first; i <= to && out->len < CL_BATCH_BYTES; i++)
+    {
+      WmMessage record = cl_entry_message (cl_entry_at (core, i));
+      wm_append (out, &record);
+    }
+  return g_byte_array_free_to_bytes (out);
+}
+
+static void
+send_install (ClCore *core, GmTime now, const char *host, ClProgress *progress)
+{
+  if (progress->installing != 0
+      && now < progress->installing + CL_ELECTION_MIN)
+    return;
+  progress->installing = now;
+  g_autoptr (GBytes) members = cl_members_encode (core->snapshot_members);
+  WmMessage m = { .type = WM_TYPE_INSTALL,
+                  .install = { .term = core->term,
+                               .from = core->host,
+                               .disk = core->disk,
+                               .index = core->snapshot_index,
+                               .index_term = core->snapshot_term,
+                               .sent = (guint64)now,
+                               .members = members,
+                               .data = core->snapshot } };
+  cl_queue_send (core, host, &m);
+}
+
+static void
+send_append (ClCore *core, GmTime now, const char *host)
+{
+  ClProgress *progress = cl_progress_of (core, host);
+  guint64 previous = progress->next - 1;
+  if (previous < core->base
+      || (previous == core->base && core->base_term == 0 && previous > 0))
+    {
+      send_install (core, now, host, progress);
+      return;
+    }
+  g_autoptr (GBytes) batch
+      = batch_from (core, progress->next, cl_last_index (core));
+  GmTime age = now - cl_confirmed_at (core, now);
+  WmMessage m
+      = { .type = WM_TYPE_APPEND,
+          .append
+          = { .term = core->term,
+              .from = core->host,
+              .disk = core->disk,
+              .prev_index = previous,
+              .prev_term = cl_term_at (core, previous),
+              .commit = core->commit,
+              .sent = (guint64)now,
+              .echo = cl_commits_own_term (core) ? progress->probe_sent : 0,
+              .age = (guint64)MAX (age, 0),
+              .entries = batch } };
+  cl_queue_send (core, host, &m);
+}
+
+void
+cl_broadcast (ClCore *core, GmTime now)
+{
+  core->heartbeat_due = now + CL_HEARTBEAT;
+  for (guint i = 0; i < core->members->len; i++)
+    {
+      const ClMember *member = g_ptr_array_index (core->members, i);
+      if (strcmp (member->host, core->host) != 0)
+        send_append (core, now, member->host);
+    }
+}
+
+void
+cl_advance_commit (ClCore *core, GmTime now)
+{
+  guint64 reached = majority_value (core, cl_last_index (core),
+                                    G_STRUCT_OFFSET (ClProgress, match));
+  if (GM_MUTANT (COMMIT_ALONE))
+    reached = cl_last_index (core);
+  /* Only an entry of the leader's own term commits by count.  */
+  if (reached > core->commit && cl_term_at (core, reached) == core->term)
+    {
+      core->commit = reached;
+      cl_broadcast (core, now);
+    }
+}
+
+/* Appends ENTRIES, which the log then owns, after syncing them.  */
+static gboolean
+append_entries (ClCore *core, ClEntry **entries, guint count)
+{
+  GmStatus status;
+  if (count == 0)
+    return TRUE;
+  GmKind kind
+      = core->store->class->append (core->store, entries, count, &status);
+  gboolean members = FALSE;
+  for (guint i = 0; i < count; i++)
+    {
+      members = members || entries[i]->type == CL_MEMBERS;
+      g_ptr_array_add (core->entries, entries[i]);
+    }
+  if (members)
+    cl_refresh_members (core);
+  return cl_stored (core, kind, &status);
+}
+
+gboolean
+cl_append_one (ClCore *core, ClEntryType type, GBytes *data)
+{
+  ClEntry *entry
+      = cl_entry_new (cl_last_index (core) + 1, core->term, type, data);
+  return append_entries (core, &entry, 1);
+}
+
+static gboolean
+truncate_from (ClCore *core, guint64 index)
+{
+  GmStatus status;
+  g_assert (index > core->commit);
+  GmKind kind = core->store->class->truncate (core->store, index, &status);
+  if (!cl_stored (core, kind, &status))
+    return FALSE;
+  g_ptr_array_set_size (core->entries, (gint)(index - core->base - 1));
+  cl_refresh_members (core);
+  return TRUE;
+}
+
+/* Merges the leader's entries; the index up to which both logs agree is
+   cl_stored in MATCH.  */
+static gboolean
+merge_entries (ClCore *core, GBytes *list, guint64 previous, guint64 *match)
+{
+  g_autoptr (GPtrArray) fresh = g_ptr_array_new ();
+  WmMessage record;
+  gsize at = 0;
+  gboolean good = TRUE;
+  *match = previous;
+  while (good && wm_next (list, &at, &record))
+    {
+      const struct wm_rec_entry *e = &record.rec_entry;
+      good = record.type == WM_TYPE_REC_ENTRY && e->index == *match + 1;
+      if (good)
+        {
+          *match = e->index;
+          gboolean present
+              = fresh->len == 0 && e->index <= cl_last_index (core);
+          if (present && e->index > core->base
+              && cl_term_at (core, e->index) != e->term)
+            {
+              good = truncate_from (core, e->index);
+              present = FALSE;
+            }
+          if (good && !present)
+            g_ptr_array_add (fresh,
+                             cl_entry_new (e->index, e->term,
+                                           (ClEntryType)e->type, e->data));
+        }
+      wm_clear (&record);
+    }
+  if (good && at == g_bytes_get_size (list))
+    return append_entries (core, (ClEntry **)fresh->pdata, fresh->len);
+  g_ptr_array_set_free_func (fresh, (GDestroyNotify)cl_entry_free);
+  return FALSE;
+}
+
+static void
+send_appended (ClCore *core, GmTime now, const char *to, gboolean ok,
+               guint64 match, guint64 echo)
+{
+  WmMessage answer
+      = { .type = WM_TYPE_APPENDED,
+          .appended
+          = { .term = core->term,
+              .from = core->host,
+              .disk = core->disk,
+              .ok = ok ? 1 : 0,
+              .match = match,
+              .sent = (guint64)now
+                      + (GM_MUTANT (ECHO_UNCHECKED) ? 0 : core->probe_base),
+              .echo = echo } };
+  cl_queue_send (core, to, &answer);
+}
+
+static gboolean
+follow_leader (ClCore *core, GmTime now, guint64 term, const char *leader)
+{
+  if (term < core->term)
+    {
+      send_appended (core, now, leader, FALSE, 0, 0);
+      return FALSE;
+    }
+  cl_become_follower (core, now, term, leader);
+  core->heard = now;
+  cl_reset_election (core, now);
+  return core->failure.kind == GM_OK;
+}
+
+/* Raises the stamp to the time of the probe that ECHO returns, less AGE.  The
+   echo of a probe that an earlier process of this host sent, whose clock may
+   have been another, falls outside this one's life.  */
+static void
+take_echo (ClCore *core, GmTime now, guint64 echo, GmTime age)
+{
+  GmTime probed = (GmTime)(echo - core->probe_base);
+  if (GM_MUTANT (ECHO_UNCHECKED))
+    probed = (GmTime)echo;
+  if ((probed >= core->opened && probed <= now) || GM_MUTANT (ECHO_UNCHECKED))
+    core->stamp = MAX (core->stamp, probed - age);
+}
+
+void
+cl_receive_append (ClCore *core, GmTime now, const struct wm_append *m)
+{
+  if (!follow_leader (core, now, m->term, m->from))
+    return;
+  gboolean known = m->prev_index <= cl_last_index (core)
+                   && (m->prev_index <= core->commit
+                       || cl_term_at (core, m->prev_index) == m->prev_term);
+  if (!known)
+    {
+      send_appended (core, now, m->from, FALSE,
+                     MIN (cl_last_index (core), m->prev_index - 1), m->sent);
+      return;
+    }
+  guint64 match;
+  if (!merge_entries (core, m->entries, m->prev_index, &match))
+    return;
+  core->commit = MAX (core->commit, MIN (m->commit, match));
+  /* What the quorum had confirmed is held here up to the leader's commit.  */
+  if (m->echo != 0 && core->commit >= m->commit)
+    take_echo (core, now, m->echo, (GmTime)m->age);
+  send_appended (core, now, m->from, TRUE, match, m->sent);
+}
+
+static GPtrArray *
+no_entries (void)
+{
+  return g_ptr_array_new_with_free_func ((GDestroyNotify)cl_entry_free);
+}
+
+static gboolean
+install_snapshot (ClCore *core, const struct wm_install *m)
+{
+  GmStatus status;
+  ClLoaded snapshot = { .snapshot_index = m->index,
+                        .snapshot_term = m->index_term,
+                        .members = m->members,
+                        .data = m->data };
+  GmKind kind = core->store->class->snapshot (core->store, &snapshot,
+                                              m->index + 1, &status);
+  if (!cl_stored (core, kind, &status))
+    return FALSE;
+  if (cl_last_index (core) > m->index)
+    {
+      kind = core->store->class->truncate (core->store, m->index + 1, &status);
+      if (!cl_stored (core, kind, &status))
+        return FALSE;
+    }
+  g_ptr_array_unref (core->entries);
+  core->entries = no_entries ();
+  core->base = m->index;
+  core->base_term = m->index_term;
+  core->snapshot_index = m->index;
+  core->snapshot_term = m->index_term;
+  g_ptr_array_unref (core->snapshot_members);
+  core->snapshot_members = cl_members_decode (m->members);
+  if (core->snapshot != NULL)
+    g_bytes_unref (core->snapshot);
+  core->snapshot = g_bytes_ref (m->data);
+  core->snapshot_taken = FALSE;
+  core->commit = m->index;
+  core->applied = m->index;
+  cl_refresh_members (core);
+  return TRUE;
+}
+
+void
+cl_receive_install (ClCore *core, GmTime now, const struct wm_install *m)
+{
+  if (!follow_leader (core, now, m->term, m->from))
+    return;
+  if (m->index > core->commit && !install_snapshot (core, m))
+    return;
+  send_appended (core, now, m->from, TRUE, MAX (m->index, core->commit),
+                 m->sent);
+}
+
+void
+cl_receive_appended (ClCore *core, GmTime now, const struct wm_appended *m)
+{
+  if (m->term > core->term)
+    {
+      cl_become_follower (core, now, m->term, NULL);
+      return;
+    }
+  const ClMember *member = cl_known_member (core, m->from, m->disk);
+  if (core->role != CL_LEADER || member == NULL || m->term < core->term)
+    return;
+  ClProgress *progress = cl_progress_of (core, m->from);
+  progress->probe_sent = m->sent;
+  progress->acked = MAX (progress->acked, (GmTime)m->echo);
+  if (m->ok == 0)
+    {
+      progress->next
+          = MAX (progress->match + 1, MIN (m->match + 1, progress->next - 1));
+      send_append (core, now, m->from);
+      return;
+    }
+  progress->installing = 0;
+  progress->match = MAX (progress->match, m->match);
+  progress->next = MAX (progress->next, progress->match + 1);
+  if (progress->next > cl_last_index (core) + 1)
+    progress->next = cl_last_index (core) + 1;
+  gboolean more = progress->match < cl_last_index (core);
+  cl_advance_commit (core, now);
+  if (more)
+    send_append (core, now, m->from);
+  cl_promote_learner (core, now, member);
+}
+
+GBytes *
+cl_entries_from (const ClCore *core, guint64 first, guint64 to)
+{
+  if (first <= core->base)
+    return NULL;
+  return batch_from (core, first, MIN (to, core->commit));
+}
--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -108,6 +108,9 @@
 /* Advances deadlines, retries and idle limits.  */
 void dp_tick (DpCore *core, GmTime now);
 
+/* This process stood still for SPAN: nothing that it watches is to blame.  */
+void dp_stalled (DpCore *core, GmTime span);
+
 /* Takes the next action; FALSE when there is none.  */
 gboolean dp_take_action (DpCore *core, DpAction *action);
 void dp_counts (const DpCore *core, DpCounts *counts);
--- a/lib/dispatch/group.c
+++ b/lib/dispatch/group.c
@@ -31,6 +31,7 @@
   char *primary;
   char *primary_address;
   GmTime report_due;
+  GmTime ticked;  /* when gp_tick was last called; 0: never */
   GQueue actions; /* GpAction * */
 };
 
@@ -328,9 +329,28 @@
          > 0;
 }
 
+/* A process that was frozen has not listened: the databases' silence begins
+   anew, or the first report after the thaw would replace a good primary.  */
+static void
+forgive_stall (GpCore *core, GmTime now)
+{
+  GmTime span = core->ticked != 0 ? now - core->ticked : 0;
+  core->ticked = now;
+  if (span < GP_STALL)
+    return;
+  dp_stalled (core->dispatch, span);
+  for (guint i = 0; i < core->watches->len; i++)
+    {
+      Watch *watch = g_ptr_array_index (core->watches, i);
+      watch->answered = MIN (watch->answered + span, now);
+      watch->sent = MIN (watch->sent + span, now);
+    }
+}
+
 void
 gp_tick (GpCore *core, GmTime now)
 {
+  forgive_stall (core, now);
   dp_tick (core->dispatch, now);
   /* What was begun under ownership still needs confirmed positions.  */
   gboolean watching = core->owned || has_work (core);
--- a/lib/dispatch/group.h
+++ b/lib/dispatch/group.h
@@ -11,6 +11,9 @@
 #define GP_POLL (40 * GM_MS)
 #define GP_POLL_FAST (5 * GM_MS)
 #define GP_POLL_TIMEOUT (150 * GM_MS) /* then a database is unreachable */
+#define GP_STALL                                                              \
+  (60 * GM_MS) /* between two ticks: this process stood still                 \
+                */
 #define GP_REPORT (150 * GM_MS)
 #define GP_REPORT_SEALING (10 * GM_MS)
 #define GP_RECONNECT (50 * GM_MS)
--- a/lib/dispatch/schedule.c
+++ b/lib/dispatch/schedule.c
@@ -258,14 +258,18 @@
 }
 
 /* A token's point is trusted; without one the newest acknowledged point is
-   required, so that a lost token costs freshness of nothing.  A declared age
-   alone lets older data pass.  */
+   required.  A dispatcher that has just taken the group doesn't know it yet
+   and reads at the primary once.  A declared age alone lets older data pass.
+ */
 static void
 set_required (const DpCore *core, DpRequest *request)
 {
-  if (request->session || request->max_age > 0)
+  if (request->operation != DP_READ || request->session
+      || request->max_age > 0)
     return;
   request->required = core->acked;
+  if (core->acked.position == 0)
+    request->max_age = 0;
 }
 
 static void
@@ -590,6 +594,8 @@
   if (core->owned == owned)
     return;
   core->owned = owned;
+  /* What another dispatcher acknowledges meanwhile is not known here.  */
+  core->acked = (TkPoint){ 0, 0 };
   DpRequest *request;
   DqQueue *lanes[] = { core->writes, core->reads };
   for (gsize i = 0; !owned && i < G_N_ELEMENTS (lanes); i++)
@@ -606,6 +612,13 @@
   dp_schedule (core, now);
 }
 
+void
+dp_stalled (DpCore *core, GmTime span)
+{
+  if (core->stuck_since != 0)
+    core->stuck_since += span;
+}
+
 void
 dp_counts (const DpCore *core, DpCounts *counts)
 {
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -191,6 +191,66 @@
   gp_free (group);
 }
 
+/* The silence that a report tells of DATABASE.  */
+static guint64
+reported_silence (GpCore *group, GmTime now, const char *database)
+{
+  GpAction action;
+  guint64 silent = G_MAXUINT64;
+  while (gp_take_action (group, now, &action))
+    {
+      WmMessage seen;
+      gsize at = 0;
+      while (action.type == GP_REPORT_SEND
+             && wm_next (action.message.report.databases, &at, &seen))
+        {
+          if (strcmp (seen.seen.id, database) == 0)
+            silent = seen.seen.silent;
+          wm_clear (&seen);
+        }
+      gp_action_clear (&action);
+    }
+  return silent;
+}
+
+/* A dispatcher that stood still blames nobody; one that listens does.  */
+static void
+test_stall (void)
+{
+  DpPolicy policy = { .order = DQ_FLOORS, .admission = TRUE };
+  GpCore *group = gp_new ("g", "host", &policy, START);
+  g_autoptr (CsState) state = cs_new ();
+  WmMessage c = config (1, 0);
+  WmMessage host = { .type = WM_TYPE_CMD_HOST,
+                     .cmd_host = { .host = (char *)"host",
+                                   .incarnation = 1,
+                                   .caller = (char *)"",
+                                   .link = (char *)"",
+                                   .data_centre = (char *)"",
+                                   .roles = CS_DISPATCHER } };
+  WmMessage database = { .type = WM_TYPE_CMD_DATABASE,
+                         .cmd_database = { .id = (char *)"db0",
+                                           .group = (char *)"g",
+                                           .address = (char *)"127.0.0.1:1",
+                                           .data_centre = (char *)"",
+                                           .slots = 2,
+                                           .connections = 40 } };
+  cs_apply (state, 1, &c, NULL);
+  cs_apply (state, 2, &host, NULL);
+  cs_apply (state, 3, &database, NULL);
+  gp_update (group, START, state);
+  gp_tick (group, START);
+  g_assert_cmpuint (reported_silence (group, START, "db0"), ==, 0);
+  GmTime now = START + 5 * GM_SECOND;
+  gp_tick (group, now);
+  g_assert_cmpuint (reported_silence (group, now, "db0"), <, 100);
+  for (GmTime end = now + GM_SECOND; now < end; now += 10 * GM_MS)
+    gp_tick (group, now);
+  g_assert_cmpuint (reported_silence (group, now, "db0"), >, 500);
+  wm_clear (&c);
+  gp_free (group);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -199,5 +259,6 @@
   g_test_add_func ("/state/copy", test_copy);
   g_test_add_func ("/state/stale-control", test_stale_control);
   g_test_add_func ("/state/check", test_check);
+  g_test_add_func ("/state/stall", test_stall);
   return g_test_run ();
 }
