--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,8 @@
 
 measure: all
 	@$(BUILD)/measure
-	@BIN=$(BUILD) tests/measure_failover.sh
+	@BIN=$(BUILD) tests/measure_failover.sh ertis
+	@BIN=$(BUILD) tests/measure_failover.sh tracnica
 
 slopes: all
 	@$(BUILD)/slopes
--- a/lib/dispatch/schedule.c
+++ b/lib/dispatch/schedule.c
@@ -412,7 +412,8 @@
     return p->now >= request->primary_after;
   GmTime spill
       = MIN (SPILL_WAIT_MAX, (request->deadline - request->arrived) / 4);
-  return p->now >= request->arrived + spill && primary->busy + 1 < dp_in_flight_max (core, primary)
+  return p->now >= request->arrived + spill
+         && primary->busy + 1 < dp_in_flight_max (core, primary)
          && dq_length (core->writes) == 0;
 }
 
--- a/tests/measure_failover.sh
+++ b/tests/measure_failover.sh
@@ -1,12 +1,16 @@
 #!/usr/bin/env bash
 # Gaps in service with real processes, in real time: writes at 100 a second, a
 # fault after two seconds, and the longest time without a good write.
+# Usage: tests/measure_failover.sh [ertis|tracnica]
 set -u
 cd "$(dirname "$0")/.."
 . tests/cluster.sh
 CONTROL_HOSTS="1 2 3"
 ENTRY_HOSTS="1 2 3 4"
-export DATABASE_OPTIONS="${DATABASE_OPTIONS:-}"
+# The databases of one user: ertis, or tracnica.
+USER_SIZE=${1:-ertis}
+DATABASE_OPTIONS="--slots 2 --connections 40 --connect-ms 10"
+[ "$USER_SIZE" = tracnica ] && DATABASE_OPTIONS="--slots 2 --connections 60 --connect-ms 30"
 start_system || { echo "failover_measured=0"; exit 1; }
 cat > "$DIR/mix.json" <<'EOF'
 [{"label": "write", "service": "quote", "statement": "put", "access": "write", "params": ["k", "$n"], "rate": 100},
@@ -31,8 +35,8 @@
   local write read
   write=$(sed -n 's/^write: .*longest gap \([0-9]*\) ms/\1/p' "$DIR/$name.txt")
   read=$(sed -n 's/^read: .*longest gap \([0-9]*\) ms/\1/p' "$DIR/$name.txt")
-  echo "failover_gap_ms.$name=$write"
-  echo "read_gap_ms.$name=$read"
+  echo "failover_gap_ms.$USER_SIZE.$name=$write"
+  echo "read_gap_ms.$USER_SIZE.$name=$read"
 }
 kill_primary () { old=$(primary_of 1); kill_process "$old"; }
 freeze_primary () { old=$(primary_of 1); signal "$old" STOP; }
@@ -47,7 +51,7 @@
 echo "time=real"
 gap none true
 gap kill kill_primary
-start_database "${old#db}" costing
+start_database "${old#db}" costing $DATABASE_OPTIONS
 gap freeze freeze_primary
 signal "$old" CONT
 sleep 2
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -129,6 +129,20 @@
 eventually 15 voters 4 3
 check second-host-returns $?
 
+# A load is measured, logs are opened anew.
+echo '[{"label": "read", "service": "recipe", "statement": "get", "access": "read", "params": ["a"], "rate": 50}]' > "$DIR/mix.json"
+"$BIN/galenamount" load --host "$(caller_of 1)" --host "$(caller_of 2)" --seconds 1 --quiet --svg "$DIR/load.svg" "$DIR/mix.json" > "$DIR/load.out" &&
+  grep -q '^read: p50' "$DIR/load.out" && grep -q '^  ok ' "$DIR/load.out" && grep -q '<rect' "$DIR/load.svg"
+check load $? "$(cat "$DIR/load.out")"
+echo '[{"label": "read", "service": "recipe"}]' > "$DIR/bad.json"
+"$BIN/galenamount" load --host "$(caller_of 1)" "$DIR/bad.json" 2>&1 | grep -q 'bad.json:1:2: \[0\]: "statement" is missing'
+check bad-mix $?
+mv "$DIR/host4.log" "$DIR/host4.old"
+signal host4 HUP
+logged_anew () { [ -e "$DIR/host4.log" ]; }
+eventually 10 logged_anew
+check log-opened-anew $?
+
 # A planned stop under load cuts nothing off.
 drained=4
 ( for i in $(seq 1 60); do run_on 1 --service recipe --read get a >/dev/null 2>>"$DIR/load.err" || echo "$i" >> "$DIR/load.bad"; done ) & load=$!
