Callers' connections are bounded in number and idle time, and let go when left

The idle bound covered new connections only, and the bound on their number counted objects that were never freed.

Change: daemon/connections.c counts open connections, closes left ones within 250 ms and idle ones after idle_ms; a request that waits for its answer holds its connection. Both edges use it.

Ruled out: the library's request-aborted signal (not emitted then); closing after every answer (a connection per request).

--- /dev/null
+++ b/daemon/connections.c
@@ -0,0 +1,138 @@
+#include "connections.h"
+#include "base/event.h"
+#include <sys/socket.h>
+
+#define SWEEP_MS 250
+
+struct Connection
+{
+  GSocket *socket;
+  guint held; /* requests that wait for their answer */
+  GmTime touched;
+};
+
+struct Connections
+{
+  GHashTable *open; /* GSocket -> Connection */
+  guint most;
+  GmTime idle;
+  const GmClock *clock;
+  guint timer;
+};
+
+static void
+connection_clear (gpointer data)
+{
+  g_object_unref (((Connection *)data)->socket);
+}
+
+static void
+connection_unref (gpointer connection)
+{
+  g_rc_box_release_full (connection, connection_clear);
+}
+
+/* Whether the other end has closed.  libsoup 3.2 reads that end between two
+   requests and then keeps the socket.  */
+static gboolean
+is_left (GSocket *socket)
+{
+  char byte;
+  return recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+         == 0;
+}
+
+/* Closes connections that the caller has left or that are idle too long, and
+   drops closed ones.  */
+static gboolean
+sweep (gpointer data)
+{
+  Connections *c = data;
+  GmTime now = gm_now (c->clock);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, c->open);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Connection *connection = value;
+      GSocket *socket = connection->socket;
+      gboolean idle = now >= connection->touched + c->idle;
+      if (connection->held == 0 && !g_socket_is_closed (socket)
+          && (idle || is_left (socket)))
+        g_socket_close (socket, NULL);
+      if (g_socket_is_closed (socket))
+        g_hash_table_iter_remove (&iter);
+    }
+  gm_gauge (GM_M_connections_open, g_hash_table_size (c->open));
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+request_started (SoupServer *server, SoupServerMessage *msg, gpointer data)
+{
+  (void)server;
+  Connections *c = data;
+  GSocket *socket = soup_server_message_get_socket (msg);
+  if (socket == NULL)
+    return;
+  Connection *connection = g_hash_table_lookup (c->open, socket);
+  if (connection == NULL && g_hash_table_size (c->open) >= c->most)
+    sweep (c);
+  if (connection == NULL && g_hash_table_size (c->open) >= c->most)
+    {
+      g_socket_close (socket, NULL);
+      return;
+    }
+  if (connection == NULL)
+    {
+      connection = g_rc_box_new0 (Connection);
+      connection->socket = g_object_ref (socket);
+      g_hash_table_insert (c->open, socket, connection);
+    }
+  connection->touched = gm_now (c->clock);
+}
+
+Connections *
+connections_new (SoupServer *server, guint most, GmTime idle,
+                 const GmClock *clock)
+{
+  Connections *c = g_new0 (Connections, 1);
+  c->open = g_hash_table_new_full (NULL, NULL, NULL, connection_unref);
+  c->most = most;
+  c->idle = idle;
+  c->clock = clock;
+  c->timer = g_timeout_add (SWEEP_MS, sweep, c);
+  g_signal_connect (server, "request-started", G_CALLBACK (request_started),
+                    c);
+  return c;
+}
+
+void
+connections_free (Connections *c)
+{
+  g_source_remove (c->timer);
+  g_hash_table_unref (c->open);
+  g_free (c);
+}
+
+Connection *
+connections_hold (Connections *c, SoupServerMessage *msg)
+{
+  GSocket *socket = soup_server_message_get_socket (msg);
+  Connection *connection
+      = socket != NULL ? g_hash_table_lookup (c->open, socket) : NULL;
+  if (connection == NULL)
+    return NULL;
+  connection->held++;
+  return g_rc_box_acquire (connection);
+}
+
+void
+connections_release (Connections *c, Connection *connection)
+{
+  if (connection == NULL)
+    return;
+  connection->held--;
+  connection->touched = gm_now (c->clock);
+  connection_unref (connection);
+}
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -1,4 +1,5 @@
 #include "announce.h"
+#include "connections.h"
 #include "daemon.h"
 #include "dbapi/dbapi.h"
 #include "http.h"
@@ -22,7 +23,7 @@
   RqCore *core;
   GHashTable *links; /* host -> Link */
   gboolean pumping;
-  guint connections;
+  Connections *connections;
   guint timer;
 };
 
@@ -32,6 +33,7 @@
   SoupServerMessage *msg;
   gulong gone_handler;
   gboolean gone; /* the caller hung up */
+  Connection *connection;
   TkSession *session;
 } Caller;
 
@@ -192,18 +194,20 @@
 }
 
 static Caller *
-caller_new (SoupServerMessage *msg)
+caller_new (Entry *entry, SoupServerMessage *msg)
 {
   Caller *caller = g_new0 (Caller, 1);
   caller->msg = g_object_ref (msg);
+  caller->connection = connections_hold (entry->connections, msg);
   caller->gone_handler = g_signal_connect (msg, "disconnected",
                                            G_CALLBACK (caller_gone), caller);
   return caller;
 }
 
 static void
-caller_free (Caller *caller)
+caller_free (Entry *entry, Caller *caller)
 {
+  connections_release (entry->connections, caller->connection);
   g_signal_handler_disconnect (caller->msg, caller->gone_handler);
   g_object_unref (caller->msg);
   tk_session_free (caller->session);
@@ -352,7 +356,7 @@
       Caller *caller = action->request->owner;
       if (!caller->gone)
         answer_caller (entry, action);
-      caller_free (caller);
+      caller_free (entry, caller);
     }
 }
 
@@ -446,7 +450,7 @@
   if (group == NULL
       || read_params (document, body->params, &params, status) != GM_OK)
     return status->kind;
-  Caller *caller = caller_new (msg);
+  Caller *caller = caller_new (entry, msg);
   gboolean trusted;
   caller->session = read_session (entry, msg, &trusted);
   TkPoint point = tk_session_point (caller->session, group);
@@ -470,7 +474,7 @@
                                entry->daemon->settings->cluster_key))
     {
       rq_request_free (request);
-      caller_free (caller);
+      caller_free (entry, caller);
       return gm_fail (status, GM_TRANSACTION_LOST,
                       "the transaction is not known or its host is gone");
     }
@@ -580,32 +584,6 @@
     http_answer (msg, GM_OK, "", NULL);
 }
 
-static void
-connection_gone (gpointer data, GObject *gone)
-{
-  (void)gone;
-  ((Entry *)data)->connections--;
-}
-
-/* Bounds the number of callers' connections; one over the limit is closed
-   unread.  */
-static void
-request_started (SoupServer *server, SoupServerMessage *msg, gpointer data)
-{
-  (void)server;
-  Entry *entry = data;
-  GSocket *socket = soup_server_message_get_socket (msg);
-  if (socket == NULL
-      || g_object_get_data (G_OBJECT (socket), "galenamount-seen") != NULL)
-    return;
-  g_object_set_data (G_OBJECT (socket), "galenamount-seen", entry);
-  g_socket_set_timeout (socket, HTTP_IDLE_S);
-  entry->connections++;
-  g_object_weak_ref (G_OBJECT (socket), connection_gone, entry);
-  if (entry->connections > (guint)entry->daemon->settings->connections_max)
-    g_socket_close (socket, NULL);
-}
-
 void
 entry_state_changed (Entry *entry)
 {
@@ -637,8 +615,9 @@
   entry->links = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                         (GDestroyNotify)link_free);
   entry->timer = g_timeout_add (TICK_MS, tick, entry);
-  g_signal_connect (server, "request-started", G_CALLBACK (request_started),
-                    entry);
+  entry->connections
+      = connections_new (server, (guint)daemon->settings->connections_max,
+                         daemon->settings->idle_ms * GM_MS, daemon->clock);
   soup_server_add_handler (server, "/v1", on_request, entry, NULL);
   soup_server_add_handler (server, "/v1/announce", announce_handle, daemon,
                            NULL);
@@ -654,6 +633,7 @@
   soup_server_disconnect (entry->server);
   g_object_unref (entry->server);
   g_source_remove (entry->timer);
+  connections_free (entry->connections);
   g_hash_table_unref (entry->links);
   rq_free (entry->core);
   g_free (entry);
--- a/daemon/http.h
+++ b/daemon/http.h
@@ -4,8 +4,6 @@
 #include <json-c/json.h>
 #include <libsoup/soup.h>
 
-#define HTTP_IDLE_S 60
-
 /* Starts SERVER on ADDRESS with a backlog that bears a rush of callers.  Port
    0 takes a free port, which is stored in ADDRESS.  */
 GmKind http_listen (SoupServer *server, CfAddress *address, GmStatus *status);
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -1,13 +1,17 @@
+#include "connections.h"
 #include "daemon.h"
 #include "http.h"
 #include <string.h>
 
 #define WHO_HEADER "X-Galenamount-Operator"
 
+#define CONNECTIONS_MAX 256
+
 struct Operator
 {
   Daemon *daemon;
   SoupServer *server;
+  Connections *connections;
 };
 
 /* An operator's request that waits for the leader.  */
@@ -16,6 +20,8 @@
   SoupServerMessage *msg;
   gulong gone_handler;
   gboolean gone;
+  Operator *op;
+  Connection *connection;
 } Waiting;
 
 static void
@@ -26,10 +32,12 @@
 }
 
 static Waiting *
-wait_for (SoupServerMessage *msg)
+wait_for (Operator *op, SoupServerMessage *msg)
 {
   Waiting *w = g_new0 (Waiting, 1);
+  w->op = op;
   w->msg = g_object_ref (msg);
+  w->connection = connections_hold (op->connections, msg);
   w->gone_handler
       = g_signal_connect (msg, "disconnected", G_CALLBACK (operator_gone), w);
   soup_server_message_pause (msg);
@@ -53,6 +61,7 @@
     http_answer (w->msg, kind, message, NULL);
   if (!w->gone)
     soup_server_message_unpause (w->msg);
+  connections_release (w->op->connections, w->connection);
   g_signal_handler_disconnect (w->msg, w->gone_handler);
   g_object_unref (w->msg);
   g_free (w);
@@ -81,7 +90,7 @@
                           .when = (guint64)g_get_real_time () } };
   g_autoptr (GBytes) block = wm_encode (&command);
   WmMessage m = { .type = WM_TYPE_PROPOSE, .propose = { .command = block } };
-  subscription_ask (op->daemon->subscription, &m, answered, wait_for (msg));
+  subscription_ask (op->daemon->subscription, &m, answered, wait_for (op, msg));
   return GM_OK;
 }
 
@@ -101,7 +110,7 @@
   WmMessage m
       = { .type = WM_TYPE_VOTER,
           .voter = { .member = (char *)member, .action = (char *)action } };
-  subscription_ask (op->daemon->subscription, &m, answered, wait_for (msg));
+  subscription_ask (op->daemon->subscription, &m, answered, wait_for (op, msg));
   return GM_OK;
 }
 
@@ -110,7 +119,7 @@
 {
   WmMessage m = { .type = WM_TYPE_STATUS_ASK,
                   .status_ask = { .history = history ? 1 : 0 } };
-  subscription_ask (op->daemon->subscription, &m, answered, wait_for (msg));
+  subscription_ask (op->daemon->subscription, &m, answered, wait_for (op, msg));
 }
 
 static GmKind
@@ -179,6 +188,9 @@
   Operator *op = g_new0 (Operator, 1);
   op->daemon = daemon;
   op->server = server;
+  op->connections = connections_new (server, CONNECTIONS_MAX,
+                                     daemon->settings->idle_ms * GM_MS,
+                                     daemon->clock);
   soup_server_add_handler (server, "/v1", on_request, op, NULL);
   soup_server_add_handler (server, "/metrics", on_metrics, op, NULL);
   return op;
@@ -191,5 +203,6 @@
     return;
   soup_server_disconnect (op->server);
   g_object_unref (op->server);
+  connections_free (op->connections);
   g_free (op);
 }
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -68,6 +68,7 @@
   X (config_number, "number of the configuration in force")                   \
   X (state_version, "version of the control state in force")                  \
   X (control_stamp_age_ms, "age of the control stamp in milliseconds")        \
+  X (connections_open, "callers' connections")                                \
   X (requests_open, "requests in progress")                                   \
   X (queue_length, "requests queued in this host's dispatchers")
 
--- a/lib/conf/settings.c
+++ b/lib/conf/settings.c
@@ -98,6 +98,8 @@
     NULL },
   { "answer_bytes", JS_INTEGER, AT (CfSettings, answer_max), FALSE, 1024,
     16 * MIB, NULL },
+  { "idle_ms", JS_INTEGER, AT (CfSettings, idle_ms), FALSE, 1000, 3600000,
+    NULL },
   { "connections", JS_INTEGER, AT (CfSettings, connections_max), FALSE, 1,
     1000000, NULL },
   { "drain_ms", JS_INTEGER, AT (CfSettings, drain_ms), FALSE, 0, 600000,
@@ -275,6 +277,7 @@
   s->body_max = 256 * 1024;
   s->answer_max = 1024 * 1024;
   s->connections_max = 10000;
+  s->idle_ms = 60000;
   s->drain_ms = 10000;
   s->control_lease_ms = 4000;
   Top top = { 0 };
--- a/lib/conf/settings.h
+++ b/lib/conf/settings.h
@@ -40,6 +40,7 @@
   gint64 body_max;   /* bytes */
   gint64 answer_max; /* bytes */
   gint64 connections_max;
+  gint64 idle_ms; /* for callers' connections without traffic */
   gint64 drain_ms;
   gint64 control_lease_ms; /* 0: serve on without control */
 } CfSettings;
--- a/tests/cluster.sh
+++ b/tests/cluster.sh
@@ -49,7 +49,7 @@
   "roles": [$2],
   "control": {"data": "$DIR/data$1", "peers": [$(peers)]},
   "log": {"file": "$DIR/host$1.log", "level": "info"},
-  "limits": {"drain_ms": 8000}
+  "limits": {"drain_ms": 8000, "answer_bytes": 65536}
 }
 EOF
 }
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -4,6 +4,7 @@
 # fast things happen, only on what must come in the end.
 set -u
 cd "$(dirname "$0")/.."
+trap '' PIPE
 . tests/cluster.sh
 CONTROL_HOSTS="1 2 3"
 ENTRY_HOSTS="1 2 3 4"
@@ -192,6 +193,38 @@
 secure_is 200 /v1/status "$((BASE + owner * 3 + 1))" "Authorization: Bearer a token for operators"
 check operators-token $?
 
+# Bounds of the callers' edge: idle time, connections, headers, answers.
+write_settings 4 '"entry"'
+sed -i 's|"limits": {|"limits": {"idle_ms": 1000, "connections": 5, |' "$DIR/host4.json"
+start_host 4
+eventually 15 healthy 4
+port=$((BASE + 12))
+for sent in '' 'POST /v1/statement HTTP/1.1\r\nHo' 'GET /health HTTP/1.1\r\nHost: x\r\n\r\n'; do
+  timeout 20 bash -c "exec 3<>/dev/tcp/127.0.0.1/$port; printf '$sent' >&3; cat <&3 >/dev/null" || echo "$sent" >> "$DIR/idle.out"
+done
+[ ! -s "$DIR/idle.out" ]
+check idle-connections-are-closed $? "$(cat "$DIR/idle.out" 2>/dev/null)"
+fds=() served=0
+for i in 1 2 3 4 5 6 7 8; do
+  exec {fd}<>"/dev/tcp/127.0.0.1/$port"
+  fds+=("$fd")
+  printf 'GET /health HTTP/1.1\r\nHost: x\r\n\r\n' >&"$fd" 2>/dev/null
+  timeout 2 head -1 <&"$fd" 2>/dev/null | grep -q 200 && served=$((served + 1))
+done
+for fd in "${fds[@]}"; do exec {fd}>&-; done
+[ "$served" -ge 1 ] && [ "$served" -le 5 ]
+check connections-are-bounded $? "$served of 8"
+eventually 15 healthy 4
+check bound-frees-itself $?
+exec 5<>"/dev/tcp/127.0.0.1/$port"
+{ printf 'GET /health HTTP/1.0\r\nX: '; head -c 200000 /dev/zero | tr '\0' x; printf '\r\n\r\n'; } >&5 2>/dev/null
+! timeout 5 head -1 <&5 2>/dev/null | grep -q ' 200 '
+check headers-are-bounded $?
+exec 5>&-
+large=$(head -c 100000 /dev/zero | tr '\0' y)
+run_on "$through" --service quote put large "$large" >/dev/null && run_on "$through" --service quote --read get large 2>&1 | grep -q too_large
+check answers-are-bounded $?
+
 # Bad input at the edges.
 for body in '' '{' '{"service": 5}' '{"service": "quote", "statement": "put", "service": "quote"}' '{"service": "nobody", "statement": "x"}'; do
   printf 'POST /v1/statement HTTP/1.0\r\nContent-Length: %s\r\n\r\n%s' "${#body}" "$body" |
