--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -90,7 +90,8 @@
                           .when = (guint64)g_get_real_time () } };
   g_autoptr (GBytes) block = wm_encode (&command);
   WmMessage m = { .type = WM_TYPE_PROPOSE, .propose = { .command = block } };
-  subscription_ask (op->daemon->subscription, &m, answered, wait_for (op, msg));
+  subscription_ask (op->daemon->subscription, &m, answered,
+                    wait_for (op, msg));
   return GM_OK;
 }
 
@@ -110,7 +111,8 @@
   WmMessage m
       = { .type = WM_TYPE_VOTER,
           .voter = { .member = (char *)member, .action = (char *)action } };
-  subscription_ask (op->daemon->subscription, &m, answered, wait_for (op, msg));
+  subscription_ask (op->daemon->subscription, &m, answered,
+                    wait_for (op, msg));
   return GM_OK;
 }
 
@@ -119,7 +121,8 @@
 {
   WmMessage m = { .type = WM_TYPE_STATUS_ASK,
                   .status_ask = { .history = history ? 1 : 0 } };
-  subscription_ask (op->daemon->subscription, &m, answered, wait_for (op, msg));
+  subscription_ask (op->daemon->subscription, &m, answered,
+                    wait_for (op, msg));
 }
 
 static GmKind
@@ -188,9 +191,9 @@
   Operator *op = g_new0 (Operator, 1);
   op->daemon = daemon;
   op->server = server;
-  op->connections = connections_new (server, CONNECTIONS_MAX,
-                                     daemon->settings->idle_ms * GM_MS,
-                                     daemon->clock);
+  op->connections
+      = connections_new (server, CONNECTIONS_MAX,
+                         daemon->settings->idle_ms * GM_MS, daemon->clock);
   soup_server_add_handler (server, "/v1", on_request, op, NULL);
   soup_server_add_handler (server, "/metrics", on_metrics, op, NULL);
   return op;
