--- a/daemon/main.c
+++ b/daemon/main.c
@@ -30,7 +30,8 @@
   g_autoptr (CfSettings) settings = cf_settings_read (path, &status);
   if (settings == NULL)
     {
-      fprintf (stderr, "galenamountd: %s\n", status.message);
+      gm_log_open (NULL, "info");
+      gm_log (GM_EV_SETTINGS_REFUSED, "%s", status.message);
       return gm_kind_exit (status.kind);
     }
   if (!gm_log_open (settings->log_file, settings->log_level))
--- a/lib/dispatch/outcome.c
+++ b/lib/dispatch/outcome.c
@@ -1,4 +1,5 @@
 #include "core.h"
+#include "base/event.h"
 #include "base/mutant.h"
 #include <string.h>
 
@@ -6,6 +7,8 @@
 dp_transaction_end (DpCore *core, GmTime now, DpTransaction *transaction)
 {
   DpConn *conn = transaction->conn;
+  gm_log (GM_EV_TRANSACTION_ENDED, "transaction %u of term %u",
+          (guint)transaction->id, (guint)transaction->term);
   if (conn != NULL)
     {
       conn->transaction = NULL;
@@ -135,6 +138,8 @@
 read_again (DpCore *core, GmTime now, DpRequest *request)
 {
   request->maybe_ran = TRUE;
+  if (request->replica)
+    gm_count (GM_M_replica_stale_total, 1);
   if (request->attempts >= DP_ATTEMPTS_MAX)
     request->primary_after = now;
   dp_queue_again (core, now, request);
--- a/lib/dispatch/request.c
+++ b/lib/dispatch/request.c
@@ -1,15 +1,5 @@
 #include "request.h"
 
-static const struct
-{
-  const char *text;
-  gboolean primary;
-} operations[] = {
-#define X(name, text, primary) { text, primary },
-  DP_OPERATIONS (X)
-#undef X
-};
-
 DpRequest *
 dp_request_new (void)
 {
@@ -72,17 +62,3 @@
   g_clear_pointer (&request->rows, g_bytes_unref);
   g_free (request);
 }
-
-const char *
-dp_operation_text (DpOperation operation)
-{
-  g_assert (operation < DP_OPERATION_COUNT);
-  return operations[operation].text;
-}
-
-gboolean
-dp_operation_needs_primary (DpOperation operation)
-{
-  g_assert (operation < DP_OPERATION_COUNT);
-  return operations[operation].primary;
-}
--- a/lib/dispatch/request.h
+++ b/lib/dispatch/request.h
@@ -9,22 +9,16 @@
 #include "token/token.h"
 #include "wire/message.h"
 
-/* name, text, whether it may run at the primary only  */
-#define DP_OPERATIONS(X)                                                      \
-  X (READ, "read", FALSE)                                                     \
-  X (WRITE, "write", TRUE)                                                    \
-  X (BEGIN, "begin", TRUE)                                                    \
-  X (STATEMENT, "statement", TRUE)                                            \
-  X (COMMIT, "commit", TRUE)                                                  \
-  X (ROLLBACK, "rollback", TRUE)                                              \
-  X (OUTCOME, "outcome", TRUE)
-
 typedef enum
 {
-#define X(name, text, primary) DP_##name,
-  DP_OPERATIONS (X)
-#undef X
-      DP_OPERATION_COUNT
+  DP_READ,
+  DP_WRITE,
+  DP_BEGIN,
+  DP_STATEMENT,
+  DP_COMMIT,
+  DP_ROLLBACK,
+  DP_OUTCOME,
+  DP_OPERATION_COUNT
 } DpOperation;
 
 #define DP_DEADLINE_MAX ((guint64)(600 * GM_SECOND))
@@ -86,7 +80,3 @@
 void dp_request_result (const DpRequest *request, WmMessage *result);
 /* Frees REQUEST, which must be in no queue.  */
 void dp_request_free (DpRequest *request);
-/* Text of OPERATION; static.  */
-const char *dp_operation_text (DpOperation operation);
-/* Whether OPERATION can only run at the primary.  */
-gboolean dp_operation_needs_primary (DpOperation operation);
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -59,7 +59,7 @@
 #define WM_PROPOSED(U, S, B) \
   U (sequence) S (host) U (kind) S (message) U (version)
 #define WM_REPORT(U, S, B) \
-  S (host) S (group) U (term) U (sealed) B (databases)
+  S (host) S (group) U (term) B (databases)
 #define WM_STATUS_ASK(U, S, B) \
   U (sequence) S (host) U (history)
 #define WM_STATUS_TEXT(U, S, B) \
@@ -103,8 +103,6 @@
   S (group) U (term) S (reason) U (when)
 #define WM_CMD_PRIMARY(U, S, B) \
   S (group) U (term) S (id) U (when)
-#define WM_CMD_NOOP(U, S, B) \
-  U (term)
 
 /* Records of snapshots and of the log on disk.  */
 #define WM_REC_GROUP(U, S, B) \
@@ -154,7 +152,6 @@
   M (CMD_DATABASE_DOWN, cmd_database_down)                                    \
   M (CMD_TERM, cmd_term)                                                      \
   M (CMD_PRIMARY, cmd_primary)                                                \
-  M (CMD_NOOP, cmd_noop)                                                      \
   M (REC_GROUP, rec_group)                                                    \
   M (REC_AUDIT, rec_audit)                                                    \
   M (REC_HISTORY, rec_history)                                                \
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -9,7 +9,8 @@
 typedef struct
 {
   DpCore *core;
-  GmTime now;
+  GmClock clock;
+  GmTime now; /* what the clock shows */
   guint64 position;
   DpAction last_run;
   DpRequest *answer;
@@ -63,7 +64,8 @@
   static const DpPolicy policy = { .order = DQ_FLOORS, .admission = TRUE };
   memset (f, 0, sizeof *f);
   f->core = dp_new (&policy, 3);
-  f->now = START;
+  gm_clock_pause (&f->clock, START);
+  f->now = gm_now (&f->clock);
   f->position = 10;
   dp_group (f->core, f->now, 1, "db0");
   static const char *const ids[] = { "db0", "db1", "db2" };
@@ -112,7 +114,8 @@
 static void
 advance (Fixture *f, GmTime delta)
 {
-  f->now += delta;
+  gm_clock_advance (&f->clock, delta);
+  f->now = gm_now (&f->clock);
   dp_tick (f->core, f->now);
   pump (f);
 }
