One way to hold a request that waits for its answer

Cause: callers' and operators' edge each paused a message, watched for the other end's hanging up, held the connection and took all that back.

Change: connections_hold and connections_release do it for both.

Ruled out: keeping the pause outside (it must follow every hold).

Conclusion: same behaviour, one place.

--- a/daemon/connections.c
+++ b/daemon/connections.c
@@ -115,24 +115,45 @@
   g_free (c);
 }
 
-Connection *
-connections_hold (Connections *c, SoupServerMessage *msg)
+static void
+hung_up (SoupServerMessage *msg, gpointer data)
+{
+  (void)msg;
+  ((HeldMessage *)data)->gone = TRUE;
+}
+
+void
+connections_hold (Connections *c, SoupServerMessage *msg, HeldMessage *held)
 {
   GSocket *socket = soup_server_message_get_socket (msg);
   Connection *connection
       = socket != NULL ? g_hash_table_lookup (c->open, socket) : NULL;
-  if (connection == NULL)
-    return NULL;
-  connection->held++;
-  return g_rc_box_acquire (connection);
+  held->msg = g_object_ref (msg);
+  held->gone = FALSE;
+  held->gone_handler
+      = g_signal_connect (msg, "disconnected", G_CALLBACK (hung_up), held);
+  held->connections = c;
+  held->connection = connection;
+  if (connection != NULL)
+    {
+      connection->held++;
+      g_rc_box_acquire (connection);
+    }
+  soup_server_message_pause (msg);
 }
 
 void
-connections_release (Connections *c, Connection *connection)
+connections_release (HeldMessage *held)
 {
-  if (connection == NULL)
-    return;
-  connection->held--;
-  connection->touched = gm_now (c->clock);
-  connection_unref (connection);
+  Connection *connection = held->connection;
+  if (!held->gone)
+    soup_server_message_unpause (held->msg);
+  if (connection != NULL)
+    {
+      connection->held--;
+      connection->touched = gm_now (held->connections->clock);
+      connection_unref (connection);
+    }
+  g_signal_handler_disconnect (held->msg, held->gone_handler);
+  g_object_unref (held->msg);
 }
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -30,10 +30,7 @@
 /* A caller that waits for its answer.  */
 typedef struct
 {
-  SoupServerMessage *msg;
-  gulong gone_handler;
-  gboolean gone; /* the caller hung up */
-  Connection *connection;
+  HeldMessage held;
   TkSession *session;
 } Caller;
 
@@ -187,29 +184,8 @@
 }
 
 static void
-caller_gone (SoupServerMessage *msg, gpointer data)
+caller_free (Caller *caller)
 {
-  (void)msg;
-  ((Caller *)data)->gone = TRUE;
-}
-
-static Caller *
-caller_new (Entry *entry, SoupServerMessage *msg)
-{
-  Caller *caller = g_new0 (Caller, 1);
-  caller->msg = g_object_ref (msg);
-  caller->connection = connections_hold (entry->connections, msg);
-  caller->gone_handler = g_signal_connect (msg, "disconnected",
-                                           G_CALLBACK (caller_gone), caller);
-  return caller;
-}
-
-static void
-caller_free (Entry *entry, Caller *caller)
-{
-  connections_release (entry->connections, caller->connection);
-  g_signal_handler_disconnect (caller->msg, caller->gone_handler);
-  g_object_unref (caller->msg);
   tk_session_free (caller->session);
   g_free (caller);
 }
@@ -258,15 +234,15 @@
   if (r->token_position > 0)
     tk_session_raise (caller->session, exec->group,
                       (TkPoint){ r->token_term, r->token_position });
-  put_token (entry, caller->msg, caller->session, body);
+  put_token (entry, caller->held.msg, caller->session, body);
   json_object_object_add (body, "request_id",
                           json_object_new_string (exec->request_id));
   if (kind == GM_OK)
     put_success (entry, end, body);
-  put_retry (caller->msg, body, r->retry_ms);
+  put_retry (caller->held.msg, body, r->retry_ms);
   count_answer (kind);
-  http_answer (caller->msg, kind, r->message != NULL ? r->message : "", body);
-  soup_server_message_unpause (caller->msg);
+  http_answer (caller->held.msg, kind, r->message != NULL ? r->message : "",
+               body);
 }
 
 static void pump (Entry *entry);
@@ -354,9 +330,10 @@
   else if (action->type == RQ_END)
     {
       Caller *caller = action->request->owner;
-      if (!caller->gone)
+      if (!caller->held.gone)
         answer_caller (entry, action);
-      caller_free (entry, caller);
+      connections_release (&caller->held);
+      caller_free (caller);
     }
 }
 
@@ -450,7 +427,7 @@
   if (group == NULL
       || read_params (document, body->params, &params, status) != GM_OK)
     return status->kind;
-  Caller *caller = caller_new (entry, msg);
+  Caller *caller = g_new0 (Caller, 1);
   gboolean trusted;
   caller->session = read_session (entry, msg, &trusted);
   TkPoint point = tk_session_point (caller->session, group);
@@ -474,11 +451,11 @@
                                entry->daemon->settings->cluster_key))
     {
       rq_request_free (request);
-      caller_free (entry, caller);
+      caller_free (caller);
       return gm_fail (status, GM_TRANSACTION_LOST,
                       "the transaction is not known or its host is gone");
     }
-  soup_server_message_pause (msg);
+  connections_hold (entry->connections, msg, &caller->held);
   rq_submit (entry->core, daemon_now (entry->daemon), state, request);
   pump (entry);
   return GM_OK;
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -14,57 +14,32 @@
   Connections *connections;
 };
 
-/* An operator's request that waits for the leader.  */
-typedef struct
-{
-  SoupServerMessage *msg;
-  gulong gone_handler;
-  gboolean gone;
-  Operator *op;
-  Connection *connection;
-} Waiting;
-
-static void
-operator_gone (SoupServerMessage *msg, gpointer data)
-{
-  (void)msg;
-  ((Waiting *)data)->gone = TRUE;
-}
-
-static Waiting *
+/* Pauses MSG until the leader answers.  */
+static HeldMessage *
 wait_for (Operator *op, SoupServerMessage *msg)
 {
-  Waiting *w = g_new0 (Waiting, 1);
-  w->op = op;
-  w->msg = g_object_ref (msg);
-  w->connection = connections_hold (op->connections, msg);
-  w->gone_handler
-      = g_signal_connect (msg, "disconnected", G_CALLBACK (operator_gone), w);
-  soup_server_message_pause (msg);
-  return w;
+  HeldMessage *held = g_new0 (HeldMessage, 1);
+  connections_hold (op->connections, msg, held);
+  return held;
 }
 
 /* Passes the leader's answer on.  */
 static void
 answered (GmKind kind, const char *message, GBytes *text, gpointer data)
 {
-  Waiting *w = data;
-  if (!w->gone && text != NULL)
+  HeldMessage *held = data;
+  if (!held->gone && text != NULL)
     {
       gsize length;
       const char *body = g_bytes_get_data (text, &length);
-      soup_server_message_set_status (w->msg, gm_kind_http (kind), NULL);
-      soup_server_message_set_response (w->msg, "application/json",
+      soup_server_message_set_status (held->msg, gm_kind_http (kind), NULL);
+      soup_server_message_set_response (held->msg, "application/json",
                                         SOUP_MEMORY_COPY, body, length);
     }
-  else if (!w->gone)
-    http_answer (w->msg, kind, message, NULL);
-  if (!w->gone)
-    soup_server_message_unpause (w->msg);
-  connections_release (w->op->connections, w->connection);
-  g_signal_handler_disconnect (w->msg, w->gone_handler);
-  g_object_unref (w->msg);
-  g_free (w);
+  else if (!held->gone)
+    http_answer (held->msg, kind, message, NULL);
+  connections_release (held);
+  g_free (held);
 }
 
 static GmKind
