--- a/daemon/announce.c
+++ b/daemon/announce.c
@@ -1,5 +1,6 @@
 #include "announce.h"
 #include "daemon.h"
+#include "subscription.h"
 #include "dispatch/dispatch.h"
 #include "http.h"
 #include <string.h>
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -1,6 +1,5 @@
-#include "daemon.h"
+#include "control.h"
 #include "clog/filestore.h"
-#include "control/control.h"
 #include <json-c/json.h>
 #include <string.h>
 
@@ -20,6 +19,7 @@
 
 struct Control
 {
+  DaemonTask task;
   Daemon *daemon;
   ClFileStore *files;
   CoCore *core;
@@ -282,19 +282,23 @@
   lk_send (link, &answer);
 }
 
-void
-control_message (Control *c, guint64 number, LkLink *link, const WmMessage *m)
+static gboolean
+control_message (DaemonTask *task, guint64 number, LkLink *link,
+                 const WmMessage *m)
 {
+  Control *c = (Control *)task;
   if (m->type == WM_TYPE_STATUS_ASK)
     take_status_ask (c, link, m);
   else
     co_receive (c->core, daemon_now (c->daemon), number, lk_peer (link), m);
   pump (c);
+  return TRUE;
 }
 
-void
-control_link_down (Control *c, guint64 number)
+static void
+control_link_down (DaemonTask *task, guint64 number)
 {
+  Control *c = (Control *)task;
   co_link_down (c->core, daemon_now (c->daemon), number);
   pump (c);
 }
@@ -320,12 +324,34 @@
                 hosts->len);
 }
 
+static void
+control_free (DaemonTask *task)
+{
+  Control *c = (Control *)task;
+  g_clear_handle_id (&c->timer, g_source_remove);
+  g_ptr_array_unref (c->peers);
+  if (c->core != NULL)
+    co_free (c->core);
+  if (c->files != NULL)
+    {
+      ClStore *store = cl_file_store (c->files);
+      store->class->free (store);
+    }
+  g_free (c);
+}
+
+static const DaemonTaskClass control_class
+    = { .message = control_message,
+        .link_down = control_link_down,
+        .free = control_free };
+
 Control *
 control_new (Daemon *daemon, gboolean bootstrap, GmStatus *status)
 {
   const CfSettings *settings = daemon->settings;
   GmTime now = daemon_now (daemon);
   Control *c = g_new0 (Control, 1);
+  c->task.class = &control_class;
   c->daemon = daemon;
   c->peers = g_ptr_array_new_with_free_func ((GDestroyNotify)peer_free);
   c->files = cl_file_store_open (settings->data, status);
@@ -340,29 +366,13 @@
   if (c->core == NULL
       || (bootstrap && cl_bootstrap (co_log (c->core), now, status) != GM_OK))
     {
-      control_free (c);
+      control_free (&c->task);
       return NULL;
     }
   if (cl_file_store_cut (c->files) > 0)
     gm_log (GM_EV_TAIL_CUT, "%u bytes", (guint)cl_file_store_cut (c->files));
   add_peers (c);
   c->timer = g_timeout_add (TICK_MS, control_tick, c);
+  daemon_add (daemon, &c->task);
   return c;
 }
-
-void
-control_free (Control *c)
-{
-  if (c == NULL)
-    return;
-  g_clear_handle_id (&c->timer, g_source_remove);
-  g_ptr_array_unref (c->peers);
-  if (c->core != NULL)
-    co_free (c->core);
-  if (c->files != NULL)
-    {
-      ClStore *store = cl_file_store (c->files);
-      store->class->free (store);
-    }
-  g_free (c);
-}
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -35,13 +35,13 @@
 {
   Daemon *daemon = owner;
   guint64 number = number_of (daemon, link);
-  if (m->type == WM_TYPE_EXEC)
+  for (guint i = 0; i < daemon->tasks->len; i++)
     {
-      if (daemon->dispatcher != NULL)
-        dispatcher_message (daemon->dispatcher, number, m);
+      DaemonTask *task = g_ptr_array_index (daemon->tasks, i);
+      if (task->class->message != NULL
+          && task->class->message (task, number, link, m))
+        return;
     }
-  else if (daemon->control != NULL)
-    control_message (daemon->control, number, link, m);
 }
 
 static void
@@ -54,8 +54,12 @@
   gm_log (GM_EV_LINK_DOWN, "link with %s", lk_peer (link));
   g_hash_table_remove (daemon->links, GSIZE_TO_POINTER (number));
   g_hash_table_remove (daemon->numbers, link);
-  if (daemon->control != NULL)
-    control_link_down (daemon->control, number);
+  for (guint i = 0; i < daemon->tasks->len; i++)
+    {
+      DaemonTask *task = g_ptr_array_index (daemon->tasks, i);
+      if (task->class->link_down != NULL)
+        task->class->link_down (task, number);
+    }
 }
 
 static const LkHandler link_handler
@@ -65,10 +69,12 @@
 open_work (const Daemon *daemon)
 {
   guint open = 0;
-  if (daemon->entry != NULL)
-    open += entry_open (daemon->entry);
-  if (daemon->dispatcher != NULL)
-    open += dispatcher_open (daemon->dispatcher);
+  for (guint i = 0; i < daemon->tasks->len; i++)
+    {
+      const DaemonTask *task = g_ptr_array_index (daemon->tasks, i);
+      if (task->class->open != NULL)
+        open += task->class->open (task);
+    }
   return open;
 }
 
@@ -96,44 +102,34 @@
       = daemon_now (daemon) + daemon->settings->drain_ms * GM_MS;
   gm_log (GM_EV_DRAINING, "%u requests and transactions in progress",
           open_work (daemon));
-  subscription_beat (daemon->subscription);
+  for (guint i = 0; i < daemon->tasks->len; i++)
+    {
+      DaemonTask *task = g_ptr_array_index (daemon->tasks, i);
+      if (task->class->draining != NULL)
+        task->class->draining (task);
+    }
   daemon->drain_timer = g_timeout_add (DRAIN_TICK_MS, drain_tick, daemon);
 }
 
-static gboolean
-start_tasks (Daemon *daemon, gboolean bootstrap, GmStatus *status)
+void
+daemon_add (Daemon *daemon, DaemonTask *task)
 {
-  const CfSettings *settings = daemon->settings;
-  daemon->server = lk_listen ((CfAddress *)&settings->link, &daemon->identity,
-                              &link_handler, daemon, status);
-  if (daemon->server == NULL)
-    return FALSE;
-  if (settings->control)
-    {
-      daemon->control = control_new (daemon, bootstrap, status);
-      if (daemon->control == NULL)
-        return FALSE;
-    }
-  daemon->subscription = subscription_new (daemon);
-  if (settings->dispatcher)
-    daemon->dispatcher = dispatcher_new (daemon);
-  if (settings->entry)
-    {
-      daemon->entry = entry_new (daemon, status);
-      if (daemon->entry == NULL)
-        return FALSE;
-    }
-  if (settings->operator_.ip != NULL)
+  g_ptr_array_add (daemon->tasks, task);
+}
+
+void
+daemon_state_changed (Daemon *daemon)
+{
+  for (guint i = 0; i < daemon->tasks->len; i++)
     {
-      daemon->operator_ = operator_new (daemon, status);
-      if (daemon->operator_ == NULL)
-        return FALSE;
+      DaemonTask *task = g_ptr_array_index (daemon->tasks, i);
+      if (task->class->state_changed != NULL)
+        task->class->state_changed (task);
     }
-  return TRUE;
 }
 
 Daemon *
-daemon_new (const CfSettings *settings, gboolean bootstrap, GmStatus *status)
+daemon_new (const CfSettings *settings, GmStatus *status)
 {
   Daemon *daemon = g_new0 (Daemon, 1);
   daemon->settings = settings;
@@ -141,10 +137,13 @@
   daemon->loop = g_main_loop_new (NULL, FALSE);
   daemon->links = g_hash_table_new (NULL, NULL);
   daemon->numbers = g_hash_table_new (NULL, NULL);
+  daemon->tasks = g_ptr_array_new ();
   daemon->identity = (LkIdentity){ .host = settings->host,
                                    .incarnation = (guint64)g_get_real_time (),
                                    .key = settings->cluster_key };
-  if (!start_tasks (daemon, bootstrap, status))
+  daemon->server = lk_listen ((CfAddress *)&settings->link, &daemon->identity,
+                              &link_handler, daemon, status);
+  if (daemon->server == NULL)
     g_clear_pointer (&daemon, daemon_free);
   return daemon;
 }
@@ -155,12 +154,15 @@
   if (daemon == NULL)
     return;
   g_clear_handle_id (&daemon->drain_timer, g_source_remove);
-  lk_server_free (daemon->server);
-  operator_free (daemon->operator_);
-  entry_free (daemon->entry);
-  dispatcher_free (daemon->dispatcher);
-  subscription_free (daemon->subscription);
-  control_free (daemon->control);
+  if (daemon->server != NULL)
+    lk_server_free (daemon->server);
+  while (daemon->tasks->len > 0)
+    {
+      DaemonTask *task
+          = g_ptr_array_steal_index (daemon->tasks, daemon->tasks->len - 1);
+      task->class->free (task);
+    }
+  g_ptr_array_unref (daemon->tasks);
   g_hash_table_unref (daemon->links);
   g_hash_table_unref (daemon->numbers);
   g_main_loop_unref (daemon->loop);
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -1,6 +1,7 @@
-#include "daemon.h"
+#include "dispatcher.h"
 #include "dbapi/dbapi.h"
 #include "dispatch/group.h"
+#include "subscription.h"
 #include <string.h>
 
 #define TICK_MS 5
@@ -30,6 +31,7 @@
 
 struct Dispatcher
 {
+  DaemonTask task;
   Daemon *daemon;
   GHashTable *groups; /* name -> Group */
   guint timer;
@@ -267,9 +269,10 @@
   return g;
 }
 
-void
-dispatcher_state_changed (Dispatcher *d)
+static void
+dispatcher_state_changed (DaemonTask *task)
 {
+  Dispatcher *d = (Dispatcher *)task;
   const CsState *state = subscription_state (d->daemon->subscription);
   GHashTableIter iter;
   gpointer value;
@@ -327,9 +330,14 @@
     lk_send (link, &m);
 }
 
-void
-dispatcher_message (Dispatcher *d, guint64 number, const WmMessage *message)
+static gboolean
+dispatcher_message (DaemonTask *task, guint64 number, LkLink *link,
+                    const WmMessage *message)
 {
+  (void)link;
+  Dispatcher *d = (Dispatcher *)task;
+  if (message->type != WM_TYPE_EXEC)
+    return FALSE;
   const struct wm_exec *m = &message->exec;
   const Subscription *subscription = d->daemon->subscription;
   const CsState *state = subscription_state (subscription);
@@ -341,15 +349,17 @@
   if (kind != GM_OK || g == NULL)
     {
       refuse (d, number, m, kind, status.message);
-      return;
+      return TRUE;
     }
   gp_submit (g->core, now_of (g), state, GSIZE_TO_POINTER (number), m);
   pump (g);
+  return TRUE;
 }
 
-guint
-dispatcher_open (const Dispatcher *d)
+static guint
+dispatcher_open (const DaemonTask *task)
 {
+  const Dispatcher *d = (const Dispatcher *)task;
   GHashTableIter iter;
   gpointer value;
   guint open = 0;
@@ -364,23 +374,30 @@
   return open;
 }
 
+static void
+dispatcher_free (DaemonTask *task)
+{
+  Dispatcher *d = (Dispatcher *)task;
+  g_source_remove (d->timer);
+  g_hash_table_unref (d->groups);
+  g_free (d);
+}
+
+static const DaemonTaskClass dispatcher_class
+    = { .message = dispatcher_message,
+        .state_changed = dispatcher_state_changed,
+        .open = dispatcher_open,
+        .free = dispatcher_free };
+
 Dispatcher *
 dispatcher_new (Daemon *daemon)
 {
   Dispatcher *d = g_new0 (Dispatcher, 1);
+  d->task.class = &dispatcher_class;
   d->daemon = daemon;
   d->groups = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                      (GDestroyNotify)group_free);
   d->timer = g_timeout_add (TICK_MS, tick, d);
+  daemon_add (daemon, &d->task);
   return d;
 }
-
-void
-dispatcher_free (Dispatcher *d)
-{
-  if (d == NULL)
-    return;
-  g_source_remove (d->timer);
-  g_hash_table_unref (d->groups);
-  g_free (d);
-}
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -1,9 +1,10 @@
+#include "entry.h"
 #include "announce.h"
 #include "connections.h"
-#include "daemon.h"
 #include "dbapi/dbapi.h"
 #include "http.h"
 #include "route/route.h"
+#include "subscription.h"
 #include "token/token.h"
 #include <string.h>
 
@@ -18,6 +19,7 @@
 
 struct Entry
 {
+  DaemonTask task;
   Daemon *daemon;
   SoupServer *server;
   RqCore *core;
@@ -561,20 +563,39 @@
     http_answer (msg, GM_OK, "", NULL);
 }
 
-void
-entry_state_changed (Entry *entry)
+static void
+entry_state_changed (DaemonTask *task)
 {
+  Entry *entry = (Entry *)task;
   rq_state (entry->core, daemon_now (entry->daemon),
             subscription_state (entry->daemon->subscription));
   pump (entry);
 }
 
-guint
-entry_open (const Entry *entry)
+static guint
+entry_open (const DaemonTask *task)
+{
+  return rq_count (((const Entry *)task)->core);
+}
+
+static void
+entry_free (DaemonTask *task)
 {
-  return rq_count (entry->core);
+  Entry *entry = (Entry *)task;
+  soup_server_disconnect (entry->server);
+  g_object_unref (entry->server);
+  g_source_remove (entry->timer);
+  connections_free (entry->connections);
+  g_hash_table_unref (entry->links);
+  rq_free (entry->core);
+  g_free (entry);
 }
 
+static const DaemonTaskClass entry_class
+    = { .state_changed = entry_state_changed,
+        .open = entry_open,
+        .free = entry_free };
+
 Entry *
 entry_new (Daemon *daemon, GmStatus *status)
 {
@@ -586,6 +607,7 @@
       return NULL;
     }
   Entry *entry = g_new0 (Entry, 1);
+  entry->task.class = &entry_class;
   entry->daemon = daemon;
   entry->server = server;
   entry->core = rq_new ();
@@ -599,19 +621,6 @@
   soup_server_add_handler (server, "/v1/announce", announce_handle, daemon,
                            NULL);
   soup_server_add_handler (server, "/health", on_health, entry, NULL);
+  daemon_add (daemon, &entry->task);
   return entry;
 }
-
-void
-entry_free (Entry *entry)
-{
-  if (entry == NULL)
-    return;
-  soup_server_disconnect (entry->server);
-  g_object_unref (entry->server);
-  g_source_remove (entry->timer);
-  connections_free (entry->connections);
-  g_hash_table_unref (entry->links);
-  rq_free (entry->core);
-  g_free (entry);
-}
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,5 +1,9 @@
 /* galenamountd: the daemon.  */
-#include "daemon.h"
+#include "control.h"
+#include "dispatcher.h"
+#include "entry.h"
+#include "operator.h"
+#include "subscription.h"
 #include <argtable2.h>
 #include <glib-unix.h>
 #include <stdio.h>
@@ -23,6 +27,23 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Starts the tasks of the settings' roles.  */
+static gboolean
+start_tasks (Daemon *daemon, gboolean bootstrap, GmStatus *status)
+{
+  const CfSettings *settings = daemon->settings;
+  if (settings->dispatcher)
+    dispatcher_new (daemon);
+  /* Control takes every message that no other task takes.  */
+  if (settings->control && control_new (daemon, bootstrap, status) == NULL)
+    return FALSE;
+  subscription_new (daemon);
+  if (settings->entry && entry_new (daemon, status) == NULL)
+    return FALSE;
+  return settings->operator_.ip == NULL
+         || operator_new (daemon, status) != NULL;
+}
+
 static int
 serve (const char *path, gboolean bootstrap)
 {
@@ -40,9 +61,10 @@
                settings->log_file);
       return gm_kind_exit (GM_IO);
     }
-  Daemon *daemon = daemon_new (settings, bootstrap, &status);
-  if (daemon == NULL)
+  Daemon *daemon = daemon_new (settings, &status);
+  if (daemon == NULL || !start_tasks (daemon, bootstrap, &status))
     {
+      daemon_free (daemon);
       gm_log (GM_EV_LISTEN_FAILED, "%s", status.message);
       fprintf (stderr, "galenamountd: %s\n", status.message);
       return gm_kind_exit (status.kind);
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -1,6 +1,7 @@
+#include "operator.h"
 #include "connections.h"
-#include "daemon.h"
 #include "http.h"
+#include "subscription.h"
 #include <string.h>
 
 #define WHO_HEADER "X-Galenamount-Operator"
@@ -9,6 +10,7 @@
 
 struct Operator
 {
+  DaemonTask task;
   Daemon *daemon;
   SoupServer *server;
   Connections *connections;
@@ -153,6 +155,18 @@
                                     SOUP_MEMORY_COPY, out->str, out->len);
 }
 
+static void
+operator_free (DaemonTask *task)
+{
+  Operator *op = (Operator *)task;
+  soup_server_disconnect (op->server);
+  g_object_unref (op->server);
+  connections_free (op->connections);
+  g_free (op);
+}
+
+static const DaemonTaskClass operator_class = { .free = operator_free };
+
 Operator *
 operator_new (Daemon *daemon, GmStatus *status)
 {
@@ -164,6 +178,7 @@
       return NULL;
     }
   Operator *op = g_new0 (Operator, 1);
+  op->task.class = &operator_class;
   op->daemon = daemon;
   op->server = server;
   op->connections
@@ -171,16 +186,6 @@
                          daemon->settings->idle_ms * GM_MS, daemon->clock);
   soup_server_add_handler (server, "/v1", on_request, op, NULL);
   soup_server_add_handler (server, "/metrics", on_metrics, op, NULL);
+  daemon_add (daemon, &op->task);
   return op;
 }
-
-void
-operator_free (Operator *op)
-{
-  if (op == NULL)
-    return;
-  soup_server_disconnect (op->server);
-  g_object_unref (op->server);
-  connections_free (op->connections);
-  g_free (op);
-}
--- /dev/null
+++ b/daemon/operator.h
@@ -0,0 +1,8 @@
+/* Operators' requests over HTTP, and the metrics page.  */
+#pragma once
+#include "daemon.h"
+
+typedef struct Operator Operator;
+
+/* Starts the task; NULL and STATUS when it can't listen.  */
+Operator *operator_new (Daemon *daemon, GmStatus *status);
--- a/daemon/subscription.c
+++ b/daemon/subscription.c
@@ -1,4 +1,4 @@
-#include "daemon.h"
+#include "subscription.h"
 #include "control/subscriber.h"
 #include <string.h>
 
@@ -15,6 +15,7 @@
 
 struct Subscription
 {
+  DaemonTask task;
   Daemon *daemon;
   SbCore *core;
   LkLink *link;
@@ -41,10 +42,7 @@
   const CsState *state = sb_state (s->core);
   gm_gauge (GM_M_state_version, state->version);
   gm_gauge (GM_M_config_number, state->history->len);
-  if (s->daemon->dispatcher != NULL)
-    dispatcher_state_changed (s->daemon->dispatcher);
-  if (s->daemon->entry != NULL)
-    entry_state_changed (s->daemon->entry);
+  daemon_state_changed (s->daemon);
 }
 
 static void
@@ -214,27 +212,38 @@
   return G_SOURCE_CONTINUE;
 }
 
+static void
+subscription_free (DaemonTask *task)
+{
+  Subscription *s = (Subscription *)task;
+  g_source_remove (s->timer);
+  lk_close (s->link);
+  g_hash_table_unref (s->asks);
+  sb_free (s->core);
+  g_free (s);
+}
+
+static void
+subscription_draining (DaemonTask *task)
+{
+  subscription_beat ((Subscription *)task);
+}
+
+static const DaemonTaskClass subscription_class
+    = { .draining = subscription_draining, .free = subscription_free };
+
 Subscription *
 subscription_new (Daemon *daemon)
 {
   const CfSettings *settings = daemon->settings;
   Subscription *s = g_new0 (Subscription, 1);
+  s->task.class = &subscription_class;
   s->daemon = daemon;
   s->core = sb_new (settings->host, settings->peers->len,
                     settings->control_lease_ms * GM_MS, daemon_now (daemon));
   s->asks = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   s->timer = g_timeout_add (TICK_MS, tick, s);
+  daemon->subscription = s;
+  daemon_add (daemon, &s->task);
   return s;
 }
-
-void
-subscription_free (Subscription *s)
-{
-  if (s == NULL)
-    return;
-  g_source_remove (s->timer);
-  lk_close (s->link);
-  g_hash_table_unref (s->asks);
-  sb_free (s->core);
-  g_free (s);
-}
