--- a/daemon/control.c
+++ b/daemon/control.c
@@ -11,7 +11,8 @@
 typedef struct
 {
   Control *control;
-  char *host;
+  char *host; /* NULL: a seed that has not been reached yet */
+  gboolean seed;
   CfAddress address;
   LkLink *link;
   GmTime dial_at; /* 0: dialed */
@@ -42,7 +43,7 @@
   for (guint i = 0; i < c->peers->len; i++)
     {
       Peer *peer = g_ptr_array_index (c->peers, i);
-      if (strcmp (peer->host, host) == 0)
+      if (g_strcmp0 (peer->host, host) == 0)
         return peer;
     }
   return NULL;
@@ -65,11 +66,30 @@
     }
 }
 
+/* Whoever wants to join asks the hosts whose names are known by then.  */
+static void
+name_peers (Control *c)
+{
+  g_autoptr (GPtrArray) hosts = g_ptr_array_new ();
+  for (guint i = 0; i < c->peers->len; i++)
+    {
+      Peer *peer = g_ptr_array_index (c->peers, i);
+      if (peer->host != NULL)
+        g_ptr_array_add (hosts, peer->host);
+    }
+  cl_set_peers (co_log (c->core), (const char *const *)hosts->pdata,
+                hosts->len);
+}
+
 static void
 peer_up (LkLink *link, void *owner)
 {
-  (void)link;
-  (void)owner;
+  Peer *peer = owner;
+  if (g_strcmp0 (peer->host, lk_peer (link)) == 0)
+    return;
+  g_free (peer->host);
+  peer->host = g_strdup (lk_peer (link));
+  name_peers (peer->control);
 }
 
 static void
@@ -92,6 +112,54 @@
 static const LkHandler peer_handler
     = { .up = peer_up, .message = peer_message, .down = peer_down };
 
+static gboolean
+is_self (const Control *c, const Peer *peer)
+{
+  const CfSettings *settings = c->daemon->settings;
+  return g_strcmp0 (peer->host, settings->host) == 0
+         || (peer->address.port == settings->link.port
+             && strcmp (peer->address.ip, settings->link.ip) == 0);
+}
+
+static Peer *
+add_peer (Control *c, const char *host, const CfAddress *address)
+{
+  Peer *peer = g_new0 (Peer, 1);
+  peer->control = c;
+  peer->host = g_strdup (host);
+  peer->address.ip = g_strdup (address->ip);
+  peer->address.port = address->port;
+  peer->dial_at = 1;
+  g_ptr_array_add (c->peers, peer);
+  return peer;
+}
+
+/* Members that the settings don't name are dialed at the address that they
+   joined with.  A host that was replaced has another address.  */
+static void
+add_members (Control *c)
+{
+  const GPtrArray *members = cl_members (co_log (c->core));
+  for (guint i = 0; i < members->len; i++)
+    {
+      const ClMember *m = g_ptr_array_index (members, i);
+      CfAddress address = { 0 };
+      Peer *peer = find_peer (c, m->host);
+      if (!cf_address_parse (m->address, &address))
+        continue;
+      if (peer != NULL && !(peer->link != NULL && lk_is_up (peer->link))
+          && (peer->address.port != address.port
+              || strcmp (peer->address.ip, address.ip) != 0))
+        {
+          g_ptr_array_remove (c->peers, peer);
+          peer = NULL;
+        }
+      if (peer == NULL)
+        add_peer (c, m->host, &address);
+      g_free (address.ip);
+    }
+}
+
 static void
 dial_peers (Control *c)
 {
@@ -99,8 +167,7 @@
   for (guint i = 0; i < c->peers->len; i++)
     {
       Peer *peer = g_ptr_array_index (c->peers, i);
-      gboolean self = strcmp (peer->host, c->daemon->settings->host) == 0;
-      if (self || peer->dial_at == 0 || now < peer->dial_at)
+      if (is_self (c, peer) || peer->dial_at == 0 || now < peer->dial_at)
         continue;
       lk_close (peer->link);
       peer->dial_at = 0;
@@ -113,6 +180,8 @@
 control_tick (gpointer data)
 {
   Control *c = data;
+  if (c->daemon->settings->seeded)
+    add_members (c);
   dial_peers (c);
   co_tick (c->core, daemon_now (c->daemon), (guint64)g_get_real_time ());
   pump (c);
@@ -303,25 +372,67 @@
   pump (c);
 }
 
+const CsState *
+control_state (const Control *c)
+{
+  return co_state (c->core);
+}
+
+gboolean
+control_is_current (Control *c, GmTime since)
+{
+  return co_is_current (c->core, daemon_now (c->daemon), since);
+}
+
 static void
 add_peers (Control *c)
 {
   const GPtrArray *listed = c->daemon->settings->peers;
-  g_autoptr (GPtrArray) hosts = g_ptr_array_new ();
   for (guint i = 0; i < listed->len; i++)
     {
       const CfPeer *from = g_ptr_array_index (listed, i);
-      Peer *peer = g_new0 (Peer, 1);
-      peer->control = c;
-      peer->host = g_strdup (from->host);
-      peer->address.ip = g_strdup (from->address.ip);
-      peer->address.port = from->address.port;
-      peer->dial_at = 1;
-      g_ptr_array_add (c->peers, peer);
-      g_ptr_array_add (hosts, peer->host);
+      add_peer (c, from->host, &from->address);
     }
-  cl_set_peers (co_log (c->core), (const char *const *)hosts->pdata,
-                hosts->len);
+  name_peers (c);
+}
+
+/* Whether this host is the first of the seeds, which founds the group.  All
+   hosts are told the same seeds when the system starts for the first time.  */
+static gboolean
+is_founder (const CfSettings *settings)
+{
+  g_autofree char *self
+      = g_strdup_printf ("%s:%u", settings->link.ip, settings->link.port);
+  gboolean listed = FALSE;
+  for (guint i = 0; i < settings->peers->len; i++)
+    {
+      const CfPeer *seed = g_ptr_array_index (settings->peers, i);
+      g_autofree char *address
+          = g_strdup_printf ("%s:%u", seed->address.ip, seed->address.port);
+      if (strcmp (address, self) < 0)
+        return FALSE;
+      listed = listed || strcmp (address, self) == 0;
+    }
+  return listed;
+}
+
+/* Sets the log up for the way in which the group forms.  */
+static GmKind
+form_group (Control *c, gboolean bootstrap, GmStatus *status)
+{
+  const CfSettings *settings = c->daemon->settings;
+  ClCore *log = co_log (c->core);
+  GmTime now = daemon_now (c->daemon);
+  co_set_voters_min (c->core, (guint)settings->voters_min);
+  if (settings->seeded)
+    cl_set_unique_hosts (log);
+  if (bootstrap)
+    return cl_bootstrap (log, now, status);
+  /* A log that is not empty belongs to a group already.  */
+  if (settings->seeded && settings->found && is_founder (settings)
+      && cl_last_index (log) == 0 && cl_term (log) == 0)
+    return cl_bootstrap (log, now, status);
+  return gm_ok (status);
 }
 
 static void
@@ -340,10 +451,9 @@
   g_free (c);
 }
 
-static const DaemonTaskClass control_class
-    = { .message = control_message,
-        .link_down = control_link_down,
-        .free = control_free };
+static const DaemonTaskClass control_class = { .message = control_message,
+                                               .link_down = control_link_down,
+                                               .free = control_free };
 
 Control *
 control_new (Daemon *daemon, gboolean bootstrap, GmStatus *status)
@@ -363,8 +473,7 @@
                           address, daemon->identity.incarnation };
       c->core = co_open (&self, cl_file_store (c->files), now, status);
     }
-  if (c->core == NULL
-      || (bootstrap && cl_bootstrap (co_log (c->core), now, status) != GM_OK))
+  if (c->core == NULL || form_group (c, bootstrap, status) != GM_OK)
     {
       control_free (&c->task);
       return NULL;
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -8,3 +8,9 @@
 /* Starts the task.  BOOTSTRAP makes an empty data folder the first of a new
    control group.  NULL and STATUS when the log can't be opened.  */
 Control *control_new (Daemon *daemon, gboolean bootstrap, GmStatus *status);
+/* The state as this control host holds it, valid until it returns to the main
+   context.  */
+const CsState *control_state (const Control *control);
+/* Whether that state was the newest at or after SINCE, as a quorum has
+   confirmed.  */
+gboolean control_is_current (Control *control, GmTime since);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -3,6 +3,9 @@
 #include "dispatcher.h"
 #include "entry.h"
 #include "operator.h"
+#include "platform/database.h"
+#include "platform/platform.h"
+#include "pools.h"
 #include "subscription.h"
 #include <argtable2.h>
 #include <glib-unix.h>
@@ -29,15 +32,32 @@
 
 /* Starts the tasks of the settings' roles.  */
 static gboolean
-start_tasks (Daemon *daemon, gboolean bootstrap, GmStatus *status)
+start_tasks (Daemon *daemon, gboolean bootstrap, PtSettings **edges,
+             GmStatus *status)
 {
   const CfSettings *settings = daemon->settings;
+  Control *control = NULL;
+  if (settings->platform == NULL && settings->pool)
+    {
+      gm_fail (status, GM_INVALID,
+               "the pool role needs the settings of a platform");
+      return FALSE;
+    }
   if (settings->dispatcher)
     dispatcher_new (daemon);
   /* Control takes every message that no other task takes.  */
-  if (settings->control && control_new (daemon, bootstrap, status) == NULL)
-    return FALSE;
+  if (settings->platform != NULL && settings->pool)
+    pools_new (daemon, pt_database_open);
+  if (settings->control)
+    {
+      control = control_new (daemon, bootstrap, status);
+      if (control == NULL)
+        return FALSE;
+    }
   subscription_new (daemon);
+  if (settings->platform != NULL
+      && !platform_start (daemon, control, edges, status))
+    return FALSE;
   if (settings->entry && entry_new (daemon, status) == NULL)
     return FALSE;
   return settings->operator_.ip == NULL
@@ -61,8 +81,9 @@
                settings->log_file);
       return gm_kind_exit (GM_IO);
     }
+  PtSettings *edges = NULL;
   Daemon *daemon = daemon_new (settings, &status);
-  if (daemon == NULL || !start_tasks (daemon, bootstrap, &status))
+  if (daemon == NULL || !start_tasks (daemon, bootstrap, &edges, &status))
     {
       daemon_free (daemon);
       gm_log (GM_EV_LISTEN_FAILED, "%s", status.message);
@@ -72,11 +93,12 @@
   g_unix_signal_add (SIGTERM, on_terminate, daemon);
   g_unix_signal_add (SIGINT, on_terminate, daemon);
   g_unix_signal_add (SIGHUP, on_hangup, NULL);
-  gm_log (GM_EV_STARTED, "%s, callers at %s:%u", settings->host,
-          settings->caller.ip, settings->caller.port);
+  gm_log (GM_EV_STARTED, "%s, links at %s:%u", settings->host,
+          settings->link.ip, settings->link.port);
   g_main_loop_run (daemon->loop);
   gm_log (GM_EV_STOPPED, "%s", settings->host);
   daemon_free (daemon);
+  pt_settings_free (edges);
   gm_log_close ();
   return 0;
 }
--- a/daemon/subscription.c
+++ b/daemon/subscription.c
@@ -18,6 +18,7 @@
   DaemonTask task;
   Daemon *daemon;
   SbCore *core;
+  GPtrArray *addresses; /* CfAddress *, of the control hosts known */
   LkLink *link;
   guint64 sequence;
   GHashTable *asks; /* sequence -> Ask */
@@ -36,12 +37,60 @@
   return sb_is_fresh (s->core, daemon_now (s->daemon));
 }
 
+static void
+address_free (CfAddress *address)
+{
+  g_free (address->ip);
+  g_free (address);
+}
+
+static void
+add_address (Subscription *s, const CfAddress *address)
+{
+  for (guint i = 0; i < s->addresses->len; i++)
+    {
+      const CfAddress *known = g_ptr_array_index (s->addresses, i);
+      if (known->port == address->port && strcmp (known->ip, address->ip) == 0)
+        return;
+    }
+  CfAddress *copy = g_new0 (CfAddress, 1);
+  copy->ip = g_strdup (address->ip);
+  copy->port = address->port;
+  g_ptr_array_add (s->addresses, copy);
+}
+
+/* The control hosts of the settings, and those that the state tells of: the
+   listed ones may be gone one day.  */
+static void
+list_addresses (Subscription *s)
+{
+  const GPtrArray *peers = s->daemon->settings->peers;
+  g_ptr_array_set_size (s->addresses, 0);
+  for (guint i = 0; i < peers->len; i++)
+    add_address (s, &((CfPeer *)g_ptr_array_index (peers, i))->address);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sb_state (s->core)->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CsHost *host = value;
+      CfAddress address = { 0 };
+      if ((host->roles & CS_CONTROL) != 0
+          && cf_address_parse (host->link, &address))
+        add_address (s, &address);
+      g_free (address.ip);
+    }
+  sb_set_peers (s->core, s->addresses->len);
+}
+
 static void
 state_changed (Subscription *s)
 {
   const CsState *state = sb_state (s->core);
   gm_gauge (GM_M_state_version, state->version);
   gm_gauge (GM_M_config_number, state->history->len);
+  if (s->daemon->settings->seeded)
+    list_addresses (s);
   daemon_state_changed (s->daemon);
 }
 
@@ -121,9 +170,8 @@
 static void
 dial (Subscription *s)
 {
-  const GPtrArray *peers = s->daemon->settings->peers;
-  const CfPeer *peer = g_ptr_array_index (peers, sb_peer (s->core));
-  s->link = lk_dial (&peer->address, &s->daemon->identity, &handler, s);
+  s->link = lk_dial (g_ptr_array_index (s->addresses, sb_peer (s->core)),
+                     &s->daemon->identity, &handler, s);
 }
 
 void
@@ -131,13 +179,16 @@
 {
   const CfSettings *settings = s->daemon->settings;
   g_autofree char *caller
-      = g_strdup_printf ("%s:%u", settings->caller.ip, settings->caller.port);
+      = settings->caller.ip != NULL ? g_strdup_printf (
+            "%s:%u", settings->caller.ip, settings->caller.port)
+                                    : g_strdup ("");
   g_autofree char *link
       = g_strdup_printf ("%s:%u", settings->link.ip, settings->link.port);
   const CsState *state = sb_state (s->core);
   guint64 roles = (settings->entry ? CS_ENTRY : 0)
                   | (settings->dispatcher ? CS_DISPATCHER : 0)
-                  | (settings->control ? CS_CONTROL : 0);
+                  | (settings->control ? CS_CONTROL : 0)
+                  | (settings->pool ? CS_POOL : 0);
   WmMessage m
       = { .type = WM_TYPE_SUBSCRIBE,
           .subscribe = { .host = settings->host,
@@ -219,6 +270,7 @@
   g_source_remove (s->timer);
   lk_close (s->link);
   g_hash_table_unref (s->asks);
+  g_ptr_array_unref (s->addresses);
   sb_free (s->core);
   g_free (s);
 }
@@ -241,6 +293,8 @@
   s->daemon = daemon;
   s->core = sb_new (settings->host, settings->peers->len,
                     settings->control_lease_ms * GM_MS, daemon_now (daemon));
+  s->addresses = g_ptr_array_new_with_free_func ((GDestroyNotify)address_free);
+  list_addresses (s);
   s->asks = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   s->timer = g_timeout_add (TICK_MS, tick, s);
   daemon->subscription = s;
--- a/lib/base/clock.c
+++ b/lib/base/clock.c
@@ -1,4 +1,5 @@
 #include "clock.h"
+#include <time.h>
 
 #define FNV_OFFSET G_GUINT64_CONSTANT (0xcbf29ce484222325)
 #define FNV_PRIME G_GUINT64_CONSTANT (0x100000001b3)
@@ -8,7 +9,9 @@
 system_now (const GmClock *clock)
 {
   (void)clock;
-  return g_get_monotonic_time ();
+  struct timespec t;
+  clock_gettime (CLOCK_BOOTTIME, &t);
+  return (GmTime)t.tv_sec * GM_SECOND + t.tv_nsec / 1000;
 }
 
 static GmTime
--- a/lib/base/clock.h
+++ b/lib/base/clock.h
@@ -19,7 +19,8 @@
   GmTime paused_at; /* only read by the paused clock */
 };
 
-/* The monotonic clock of the runtime; static.  */
+/* The monotonic clock that also counts the time for which the machine was
+   suspended: leases and ages rest on it.  Static.  */
 const GmClock *gm_clock_system (void);
 /* Makes CLOCK a paused clock that stands at AT.  */
 void gm_clock_pause (GmClock *clock, GmTime at);
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -38,7 +38,12 @@
   X (TOKEN_FORGED, 600, WARN, "a session token failed its check")             \
   X (ANSWER_LATE, 601, WARN, "an answer came for a request no longer known")  \
   X (CONNECTION_LOST, 602, INFO, "a database connection was lost")            \
-  X (TRANSACTION_ENDED, 603, INFO, "a transaction was ended by the system")
+  X (TRANSACTION_ENDED, 603, INFO, "a transaction was ended by the system")   \
+  X (STATEMENT_REFUSED, 610, INFO, "a statement was answered with an error")  \
+  X (LINE_REFUSED, 611, WARN, "a caller's line could not be read")            \
+  X (MANIFEST, 620, INFO, "an operator's manifest was taken or refused")      \
+  X (ANNOUNCEMENT_BAD, 621, WARN, "an announcement could not be read")        \
+  X (PROMOTION, 630, NOTICE, "a promotion was ordered, or its answer came")
 
 typedef enum
 {
@@ -65,6 +70,11 @@
   X (connections_opened_total, "database connections opened")                 \
   X (connections_lost_total, "database connections lost")                     \
   X (failovers_total, "terms ordered by this control host")                   \
+  X (statements_total, "statements taken on callers' sessions")               \
+  X (statements_again_total, "statements sent once more without effect")      \
+  X (statements_refused_total, "statements answered as without effect")       \
+  X (statements_unknown_total, "statements answered with an unknown outcome") \
+  X (sessions_open, "callers' sessions")                                      \
   X (config_number, "number of the configuration in force")                   \
   X (state_version, "version of the control state in force")                  \
   X (control_stamp_age_ms, "age of the control stamp in milliseconds")        \
--- a/lib/base/kind.h
+++ b/lib/base/kind.h
@@ -32,7 +32,10 @@
   X (OUTCOME_UNKNOWN, "outcome_unknown", 504, 13, MAYBE)                      \
   X (CORRUPT, "corrupt", 500, 14, MAYBE)                                      \
   X (IO, "io_error", 500, 15, MAYBE)                                          \
-  X (INTERNAL, "internal", 500, 16, MAYBE)
+  X (INTERNAL, "internal", 500, 16, MAYBE)                                    \
+  X (LAGGING, "lagging", 503, 17, NO)                                         \
+  X (READ_ONLY, "read_only", 503, 18, NO)                                     \
+  X (STATEMENT_FAILED, "statement_failed", 422, 19, MAYBE)
 
 typedef enum
 {
--- a/lib/base/mutant.h
+++ b/lib/base/mutant.h
@@ -31,7 +31,11 @@
   X (ANY_INCARNATION, "a transaction's number outlives its dispatcher")       \
   X (AGE_UNCHECKED, "a declared age is not checked")                          \
   X (OLD_TERM_ACK, "a copy of an earlier term confirms a write")              \
-  X (READ_UNSAFE, "a read shows what a failover could undo")
+  X (READ_UNSAFE, "a read shows what a failover could undo")                  \
+  X (LOWER_WINS, "a lower number replaces a higher one")                      \
+  X (VALUES_KEPT, "a connection keeps another session's values")              \
+  X (LEAD_UNPROVED, "a read trusts a primary that may have been replaced")    \
+  X (OLD_SAMPLE, "a read's position may be older than its age bound")
 
 typedef enum
 {
--- a/lib/clog/change.c
+++ b/lib/clog/change.c
@@ -29,17 +29,36 @@
   change_members (core, now, members, NULL);
 }
 
+/* Whoever wants to join knows some control hosts, not the leader.  A request
+   that was forwarded once is not forwarded again.  */
+static void
+forward_join (ClCore *core, const struct wm_join *m)
+{
+  if (core->leader == NULL || strcmp (core->leader, m->from) == 0
+      || m->forwarded != 0)
+    return;
+  WmMessage forward = { .type = WM_TYPE_JOIN, .join = *m };
+  forward.join.forwarded = 1;
+  cl_queue_send (core, core->leader, &forward);
+}
+
 void
 cl_receive_join (ClCore *core, GmTime now, const struct wm_join *m)
 {
-  if (core->role != CL_LEADER
-      || cl_known_member (core, m->from, m->disk) != NULL)
+  if (core->role != CL_LEADER)
+    {
+      forward_join (core, m);
+      return;
+    }
+  if (cl_known_member (core, m->from, m->disk) != NULL)
     return;
   ClMember *asking = cl_member_new (m->from, m->disk, m->address, FALSE);
   g_hash_table_replace (core->joining, asking->host, asking);
-  /* A host that was never a member joins by itself; a host with another disk
-     waits for an operator, who knows whether the old one is lost.  */
-  if (cl_find_member (core->members, m->from) == NULL)
+  /* A host that was never a member joins by itself.  A host with another disk
+     waits for an operator, who knows whether the old one is lost, unless host
+     names are known to be unique: then only one process speaks for the host,
+     and it no longer has the old disk.  */
+  if (cl_find_member (core->members, m->from) == NULL || core->unique_hosts)
     cl_admit (core, now, m->from, NULL);
 }
 
--- a/lib/clog/clog.c
+++ b/lib/clog/clog.c
@@ -146,6 +146,12 @@
   g_free (core);
 }
 
+void
+cl_set_unique_hosts (ClCore *core)
+{
+  core->unique_hosts = TRUE;
+}
+
 void
 cl_set_keep (ClCore *core, guint64 entries)
 {
--- a/lib/clog/clog.h
+++ b/lib/clog/clog.h
@@ -110,6 +110,10 @@
    to join.  Borrows nothing.  */
 void cl_set_peers (ClCore *core, const char *const *hosts, guint count);
 
+/* Host names are unique: a host that asks to join with another disk has lost
+   the old one and is admitted without an operator.  */
+void cl_set_unique_hosts (ClCore *core);
+
 /* Keeps ENTRIES behind a snapshot, instead of CL_KEEP_ENTRIES; a snapshot is
    wanted after twice as many.  */
 void cl_set_keep (ClCore *core, guint64 entries);
@@ -156,6 +160,8 @@
    host's clock: what was committed before then is among the entries that
    cl_take_committed has given or will give.  */
 GmTime cl_stamp (ClCore *core, GmTime now);
+/* Voters of the committed members; 0 while a change is under way.  */
+guint cl_settled_voters (const ClCore *core);
 /* Members, ClMember *, owned by CORE.  */
 const GPtrArray *cl_members (const ClCore *core);
 /* Whether the members are committed, and not only in this host's log.  */
--- a/lib/clog/core.h
+++ b/lib/clog/core.h
@@ -41,6 +41,7 @@
   guint64 commit;
   guint64 applied;
   guint64 keep; /* entries kept behind a snapshot */
+  gboolean unique_hosts;
 
   GPtrArray *members;
   guint64 members_index; /* entry the members come from */
--- a/lib/clog/member.c
+++ b/lib/clog/member.c
@@ -191,6 +191,12 @@
   return core->members;
 }
 
+guint
+cl_settled_voters (const ClCore *core)
+{
+  return cl_members_settled (core) ? cl_voter_count (core) : 0;
+}
+
 gboolean
 cl_members_settled (const ClCore *core)
 {
--- a/lib/conf/declaration.c
+++ b/lib/conf/declaration.c
@@ -8,6 +8,9 @@
 #define AGE_MAX_MS 86400000
 #define WORTH_MAX 1000
 #define FLOOR_SUM_MAX 0.5
+#define TRANSACTION_IDLE_MS 10000 /* as long as callers of the trial paused   \
+                                   */
+#define CONNECTIONS_MAX 100000
 #define NUMBER_MAX 9007199254740991.0 /* largest exact JSON integer */
 
 static const char *const rank_texts[] = {
@@ -16,6 +19,12 @@
 #undef X
 };
 
+static const char *const reads_texts[] = {
+#define X(name, text) text,
+  CF_READS (X)
+#undef X
+};
+
 /* A service as it stands in the text.  */
 typedef struct
 {
@@ -26,6 +35,8 @@
   gint64 worth;
   gint64 max_age_ms;
   gboolean repeatable;
+  char *reads;
+  gint64 target_ms;
 } RawService;
 
 typedef struct
@@ -34,6 +45,8 @@
   json_object *groups;
   json_object *services;
   json_object *floors;
+  char *numbering;
+  gint64 transaction_idle_ms;
 } RawDeclaration;
 
 #define AT(type, member) G_STRUCT_OFFSET (type, member)
@@ -46,11 +59,18 @@
   { "services", JS_ARRAY, AT (RawDeclaration, services), TRUE, 1, SERVICES_MAX,
     NULL },
   { "floors", JS_OBJECT, AT (RawDeclaration, floors), FALSE, 0, 0, NULL },
+  { "numbering", JS_STRING, AT (RawDeclaration, numbering), FALSE, 1,
+    NAME_MAX_BYTES, "consecutive|highest" },
+  { "transaction_idle_ms", JS_INTEGER,
+    AT (RawDeclaration, transaction_idle_ms), FALSE, 1, DEADLINE_MAX_MS,
+    NULL },
 };
 
 static const JsField group_fields[] = {
   { "name", JS_STRING, AT (CfGroup, name), TRUE, 1, NAME_MAX_BYTES, NULL },
   { "databases", JS_INTEGER, AT (CfGroup, databases), FALSE, 1, 9, NULL },
+  { "connections", JS_INTEGER, AT (CfGroup, connections), FALSE, 1,
+    CONNECTIONS_MAX, NULL },
 };
 
 static const JsField service_fields[] = {
@@ -65,6 +85,10 @@
   { "max_age_ms", JS_INTEGER, AT (RawService, max_age_ms), FALSE, 0,
     AGE_MAX_MS, NULL },
   { "repeatable", JS_BOOLEAN, AT (RawService, repeatable), FALSE, 0, 0, NULL },
+  { "reads", JS_STRING, AT (RawService, reads), FALSE, 1, NAME_MAX_BYTES,
+    "session|bounded|primary" },
+  { "target_ms", JS_INTEGER, AT (RawService, target_ms), FALSE, 1,
+    DEADLINE_MAX_MS, NULL },
 };
 
 static const JsField floor_fields[] = {
@@ -110,7 +134,7 @@
                            G_N_ELEMENTS (group_fields), group, status);
   if (kind != GM_OK)
     return kind;
-  if (cf_group_find (d, group->name) != group)
+  if (!g_hash_table_insert (d->groups_by_name, group->name, group))
     {
       g_autofree char *at = g_strconcat (path, ".name", NULL);
       return js_fault (document, at, status, "\"%s\" stands twice",
@@ -140,6 +164,15 @@
   return GM_OK;
 }
 
+static CfReads
+reads_of (const char *text)
+{
+  for (guint i = 0; text != NULL && i < G_N_ELEMENTS (reads_texts); i++)
+    if (strcmp (reads_texts[i], text) == 0)
+      return (CfReads)i;
+  return CF_READS_SESSION;
+}
+
 static CfRank
 rank_of (const char *text)
 {
@@ -168,11 +201,19 @@
       service->worth = raw.worth;
       service->max_age_ms = raw.max_age_ms;
       service->repeatable = raw.repeatable;
+      service->reads = reads_of (raw.reads);
+      service->target_ms = raw.target_ms;
       kind = read_dependencies (d, document, service, raw.depends_on, path,
                                 status);
     }
+  if (kind == GM_OK && service->reads == CF_READS_BOUNDED
+      && service->max_age_ms < 0)
+    kind = js_fault (document, path, status,
+                     "\"max_age_ms\" is missing: bounded reads need it");
   g_free (raw.rank);
-  if (kind == GM_OK && cf_service_find (d, service->name) != service)
+  g_free (raw.reads);
+  if (kind == GM_OK
+      && !g_hash_table_insert (d->by_name, service->name, service))
     {
       g_autofree char *at = g_strconcat (path, ".name", NULL);
       return js_fault (document, at, status, "\"%s\" stands twice",
@@ -208,6 +249,11 @@
   if (kind != GM_OK)
     return kind;
   d->number = raw.number;
+  if (g_strcmp0 (raw.numbering, "highest") == 0)
+    d->numbering = CF_NUMBERING_HIGHEST;
+  g_free (raw.numbering);
+  if (raw.transaction_idle_ms > 0)
+    d->transaction_idle_ms = raw.transaction_idle_ms;
   for (guint i = 0; i < json_object_array_length (raw.groups); i++)
     if ((kind
          = read_group (d, document, json_object_array_get_idx (raw.groups, i),
@@ -235,6 +281,9 @@
   CfDeclaration *d = g_new0 (CfDeclaration, 1);
   d->groups = g_ptr_array_new_with_free_func ((GDestroyNotify)group_free);
   d->services = g_ptr_array_new_with_free_func ((GDestroyNotify)service_free);
+  d->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  d->groups_by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  d->transaction_idle_ms = TRANSACTION_IDLE_MS;
   d->floor[CF_ROUTINE] = 0.15;
   d->floor[CF_BULK] = 0.05;
   if (read_all (d, document, status) != GM_OK)
@@ -247,6 +296,8 @@
 {
   if (declaration == NULL)
     return;
+  g_hash_table_unref (declaration->by_name);
+  g_hash_table_unref (declaration->groups_by_name);
   g_ptr_array_unref (declaration->groups);
   g_ptr_array_unref (declaration->services);
   g_free (declaration);
@@ -255,23 +306,11 @@
 const CfService *
 cf_service_find (const CfDeclaration *declaration, const char *name)
 {
-  for (guint i = 0; i < declaration->services->len; i++)
-    {
-      const CfService *service = g_ptr_array_index (declaration->services, i);
-      if (service->name != NULL && strcmp (service->name, name) == 0)
-        return service;
-    }
-  return NULL;
+  return g_hash_table_lookup (declaration->by_name, name);
 }
 
 const CfGroup *
 cf_group_find (const CfDeclaration *declaration, const char *name)
 {
-  for (guint i = 0; i < declaration->groups->len; i++)
-    {
-      const CfGroup *group = g_ptr_array_index (declaration->groups, i);
-      if (group->name != NULL && strcmp (group->name, name) == 0)
-        return group;
-    }
-  return NULL;
+  return g_hash_table_lookup (declaration->groups_by_name, name);
 }
--- a/lib/conf/declaration.h
+++ b/lib/conf/declaration.h
@@ -19,10 +19,37 @@
 
 #define CF_AGE_SESSION ((gint64)-1) /* any age that the session allows */
 
+/* Which state a service's reads may show.  */
+#define CF_READS(X)                                                           \
+  X (SESSION, "session") /* the session's own writes, and its age bound */    \
+  X (BOUNDED, "bounded") /* the age bound alone */                            \
+  X (PRIMARY, "primary") /* every acknowledged write */
+
+typedef enum
+{
+#define X(name, text) CF_READS_##name,
+  CF_READS (X)
+#undef X
+} CfReads;
+
+/* Which submissions of a declaration are taken.  */
+#define CF_NUMBERINGS(X)                                                      \
+  X (CONSECUTIVE, "consecutive") /* the next number alone */                  \
+  X (HIGHEST, "highest")         /* any higher one; lower ones are overtaken  \
+                                  */
+
+typedef enum
+{
+#define X(name, text) CF_NUMBERING_##name,
+  CF_NUMBERINGS (X)
+#undef X
+} CfNumbering;
+
 typedef struct
 {
   char *name;
-  gint64 databases; /* copies that the group is meant to have */
+  gint64 databases;   /* copies that the group is meant to have */
+  gint64 connections; /* that each database bears; 0: as it announces */
 } CfGroup;
 
 typedef struct
@@ -34,6 +61,8 @@
   gint64 worth;        /* higher is refused later */
   gint64 max_age_ms;   /* CF_AGE_SESSION, or the age that reads may have */
   gboolean repeatable; /* a statement may run twice without harm */
+  CfReads reads;
+  gint64 target_ms; /* in which an answer is worth most; 0: the deadline */
 } CfService;
 
 typedef struct
@@ -42,6 +71,10 @@
   GPtrArray *groups;           /* CfGroup * */
   GPtrArray *services;         /* CfService * */
   double floor[CF_RANK_COUNT]; /* least share of slots while backlogged */
+  CfNumbering numbering;
+  gint64 transaction_idle_ms; /* between two statements of a transaction */
+  GHashTable *by_name;        /* name -> CfService, borrowed */
+  GHashTable *groups_by_name; /* name -> CfGroup, borrowed */
 } CfDeclaration;
 
 /* Text of RANK; static.  */
--- a/lib/conf/settings.c
+++ b/lib/conf/settings.c
@@ -18,6 +18,7 @@
   json_object *limits;
   json_object *tls;
   json_object *tokens;
+  json_object *platform;
 } RawSettings;
 
 typedef struct
@@ -31,6 +32,10 @@
 {
   char *data;
   json_object *peers;
+  json_object *seeds;
+  gint64 seeds_port;
+  gboolean found;
+  gint64 voters_min;
 } RawControl;
 
 typedef struct
@@ -60,16 +65,17 @@
   { "cluster_key", JS_STRING, AT (Top, cluster_key), TRUE, KEY_MIN_BYTES,
     PATH_MAX_BYTES, NULL },
   { "listen", JS_OBJECT, AT (Top, raw.listen), TRUE, 0, 0, NULL },
-  { "roles", JS_ARRAY, AT (Top, raw.roles), TRUE, 1, 3, NULL },
+  { "roles", JS_ARRAY, AT (Top, raw.roles), TRUE, 1, 4, NULL },
   { "control", JS_OBJECT, AT (Top, raw.control), TRUE, 0, 0, NULL },
   { "log", JS_OBJECT, AT (Top, raw.log), FALSE, 0, 0, NULL },
   { "limits", JS_OBJECT, AT (Top, raw.limits), FALSE, 0, 0, NULL },
   { "tls", JS_OBJECT, AT (Top, raw.tls), FALSE, 0, 0, NULL },
   { "tokens", JS_OBJECT, AT (Top, raw.tokens), FALSE, 0, 0, NULL },
+  { "platform", JS_OBJECT, AT (Top, raw.platform), FALSE, 0, 0, NULL },
 };
 
 static const JsField listen_fields[] = {
-  { "caller", JS_STRING, AT (RawListen, caller), TRUE, 1, NAME_MAX_BYTES,
+  { "caller", JS_STRING, AT (RawListen, caller), FALSE, 1, NAME_MAX_BYTES,
     NULL },
   { "operator", JS_STRING, AT (RawListen, operator_), FALSE, 1, NAME_MAX_BYTES,
     NULL },
@@ -78,7 +84,13 @@
 
 static const JsField control_fields[] = {
   { "data", JS_STRING, AT (RawControl, data), FALSE, 1, PATH_MAX_BYTES, NULL },
-  { "peers", JS_ARRAY, AT (RawControl, peers), TRUE, 1, PEERS_MAX, NULL },
+  { "peers", JS_ARRAY, AT (RawControl, peers), FALSE, 1, PEERS_MAX, NULL },
+  { "seeds", JS_ARRAY, AT (RawControl, seeds), FALSE, 1, PEERS_MAX, NULL },
+  { "seeds_port", JS_INTEGER, AT (RawControl, seeds_port), FALSE, 1, 65535,
+    NULL },
+  { "found", JS_BOOLEAN, AT (RawControl, found), FALSE, 0, 0, NULL },
+  { "voters_min", JS_INTEGER, AT (RawControl, voters_min), FALSE, 1, PEERS_MAX,
+    NULL },
 };
 
 static const JsField peer_fields[] = {
@@ -161,7 +173,7 @@
 {
   RawListen raw = { 0 };
   GmKind kind = READ (document, value, "listen", listen_fields, &raw, status);
-  if (kind == GM_OK)
+  if (kind == GM_OK && raw.caller != NULL)
     kind = read_address (document, "listen.caller", raw.caller, &s->caller,
                          status);
   if (kind == GM_OK && raw.operator_ != NULL)
@@ -186,15 +198,19 @@
       gboolean *member = g_strcmp0 (role, "entry") == 0        ? &s->entry
                          : g_strcmp0 (role, "dispatcher") == 0 ? &s->dispatcher
                          : g_strcmp0 (role, "control") == 0    ? &s->control
+                         : g_strcmp0 (role, "pool") == 0       ? &s->pool
                                                                : NULL;
       if (member == NULL)
         {
           g_autofree char *path = g_strdup_printf ("roles[%zu]", i);
           return js_fault (document, path, status,
-                           "must be one of entry|dispatcher|control");
+                           "must be one of entry|dispatcher|control|pool");
         }
       *member = TRUE;
     }
+  if (s->entry && s->caller.ip == NULL)
+    return js_fault (document, "listen", status,
+                     "\"caller\" is missing: the entry role listens there");
   return GM_OK;
 }
 
@@ -215,21 +231,58 @@
   return kind;
 }
 
+/* A seed stands in the settings by its address alone.  */
+static GmKind
+read_seed (CfSettings *s, const JsDocument *document, json_object *value,
+           gsize i, GmStatus *status)
+{
+  g_autofree char *path = g_strdup_printf ("control.seeds[%zu]", i);
+  const char *text = json_object_is_type (value, json_type_string)
+                         ? json_object_get_string (value)
+                         : "";
+  CfPeer *peer = g_new0 (CfPeer, 1);
+  g_ptr_array_add (s->peers, peer);
+  return read_address (document, path, text, &peer->address, status);
+}
+
+typedef GmKind (*ReadItem) (CfSettings *s, const JsDocument *document,
+                            json_object *value, gsize i, GmStatus *status);
+
+static GmKind
+read_list (CfSettings *s, const JsDocument *document, json_object *list,
+           ReadItem read_item, GmStatus *status)
+{
+  GmKind kind = GM_OK;
+  for (gsize i = 0; kind == GM_OK && i < json_object_array_length (list); i++)
+    kind = read_item (s, document, json_object_array_get_idx (list, i), i,
+                      status);
+  return kind;
+}
+
 static GmKind
 read_control (CfSettings *s, const JsDocument *document, json_object *value,
               GmStatus *status)
 {
-  RawControl raw = { 0 };
+  RawControl raw = { .voters_min = 1 };
   GmKind kind
       = READ (document, value, "control", control_fields, &raw, status);
   s->data = raw.data;
+  s->found = raw.found;
+  s->seeded = raw.seeds != NULL;
+  s->voters_min = raw.voters_min;
+  if (kind == GM_OK && (raw.peers != NULL) == (raw.seeds != NULL))
+    kind = js_fault (document, "control", status,
+                     "one of \"peers\" and \"seeds\" is needed");
+  if (kind == GM_OK)
+    kind = raw.peers != NULL
+               ? read_list (s, document, raw.peers, read_peer, status)
+               : read_list (s, document, raw.seeds, read_seed, status);
   if (kind != GM_OK)
     return kind;
-  for (gsize i = 0; i < json_object_array_length (raw.peers); i++)
-    if ((kind = read_peer (
-             s, document, json_object_array_get_idx (raw.peers, i), i, status))
-        != GM_OK)
-      return kind;
+  /* Seeds may be known by the address of another service of theirs.  */
+  for (guint i = 0; raw.seeds_port != 0 && i < s->peers->len; i++)
+    ((CfPeer *)g_ptr_array_index (s->peers, i))->address.port
+        = (guint16)raw.seeds_port;
   if (s->control && s->data == NULL)
     return js_fault (document, "control", status,
                      "\"data\" is missing: the control role needs a folder");
@@ -268,10 +321,11 @@
 CfSettings *
 cf_settings_read (const char *path, GmStatus *status)
 {
-  g_autoptr (JsDocument) document = js_read (path, status);
+  JsDocument *document = js_read (path, status);
   if (document == NULL)
     return NULL;
   CfSettings *s = g_new0 (CfSettings, 1);
+  s->document = document;
   s->peers = g_ptr_array_new_with_free_func ((GDestroyNotify)peer_free);
   s->log_level = g_strdup ("info");
   s->body_max = 256 * 1024;
@@ -286,6 +340,7 @@
   s->host = top.host;
   s->data_centre = top.data_centre;
   s->cluster_key = top.cluster_key;
+  s->platform = top.raw.platform;
   if (kind == GM_OK)
     kind = read_sections (s, document, &top, status);
   if (kind != GM_OK)
@@ -306,5 +361,6 @@
   for (gsize i = 0; i < G_N_ELEMENTS (strings); i++)
     g_free (strings[i]);
   g_ptr_array_unref (s->peers);
+  js_free (s->document);
   g_free (s);
 }
--- a/lib/conf/settings.h
+++ b/lib/conf/settings.h
@@ -14,7 +14,7 @@
 /* A control host as the settings list it.  */
 typedef struct
 {
-  char *host;
+  char *host;        /* NULL for a seed, whose name is not known beforehand */
   CfAddress address; /* of its link listener */
 } CfPeer;
 
@@ -29,9 +29,16 @@
   gboolean entry;
   gboolean dispatcher;
   gboolean control;
-  char *data;       /* data folder, control role only */
-  GPtrArray *peers; /* CfPeer *, the control hosts */
-  char *log_file;   /* NULL: standard error */
+  gboolean pool;        /* holds the queues of single databases */
+  char *data;           /* data folder, control role only */
+  GPtrArray *peers;     /* CfPeer *, the control hosts, or some of them */
+  gboolean seeded;      /* peers are seeds: the others are learned, the group
+                           forms and heals by itself */
+  gboolean found;       /* the first seed, by address, founds the group */
+  gint64 voters_min;    /* that hold a declaration before it is acknowledged */
+  JsDocument *document; /* keeps platform */
+  json_object *platform; /* settings of the platform's edges, or NULL */
+  char *log_file;        /* NULL: standard error */
   char *log_level;
   char *caller_token;    /* NULL: callers need none */
   char *operator_token;  /* NULL: operators need none */
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -30,6 +30,7 @@
   GPtrArray *subscribers; /* Subscriber * */
   GHashTable *proposals;  /* index -> Proposal */
   GQueue sends;           /* CoSend * */
+  guint voters_min;
   gboolean led;
   gboolean failed;
   GmTime expire_at; /* when the silent are looked for next */
@@ -124,6 +125,19 @@
   return core->led;
 }
 
+void
+co_set_voters_min (CoCore *core, guint voters)
+{
+  core->voters_min = voters;
+}
+
+gboolean
+co_is_current (CoCore *core, GmTime now, GmTime since)
+{
+  return cl_stamp (core->log, now) >= since
+         && core->state->version >= cl_commit (core->log);
+}
+
 static void
 queue_send (CoCore *core, guint64 link, const char *to, const WmMessage *m)
 {
@@ -469,7 +483,13 @@
 take_propose (CoCore *core, GmTime now, guint64 link, const WmMessage *m)
 {
   const struct wm_propose *p = &m->propose;
-  if (core->led)
+  if (core->led && cl_settled_voters (core->log) < core->voters_min)
+    {
+      GmStatus status
+          = { GM_UNAVAILABLE, "too few control hosts have joined" };
+      answer_proposal (core, link, p->host, p->sequence, &status, 0);
+    }
+  else if (core->led)
     propose (core, now, link, p->host, p->sequence, p->command);
   else if (!co_forward (core, m))
     {
@@ -527,6 +547,15 @@
       else
         co_forward (core, m);
       break;
+    case WM_TYPE_CMD_DATABASE_DOWN:
+      if (core->led)
+        {
+          g_autoptr (GBytes) block = wm_encode (m);
+          propose (core, now, 0, core->host, 0, block);
+        }
+      else
+        co_forward (core, m);
+      break;
     case WM_TYPE_REPORT:
       if (core->led)
         fo_report (core->failover, now, core->state, &m->report);
--- a/lib/control/control.h
+++ b/lib/control/control.h
@@ -43,6 +43,10 @@
 const CsState *co_state (const CoCore *core);
 const MbCore *co_members (const CoCore *core);
 gboolean co_leads (const CoCore *core);
+/* Refuses operators' proposals until VOTERS control hosts hold the log.  */
+void co_set_voters_min (CoCore *core, guint voters);
+/* Whether STATE as this host holds it was the newest at or after SINCE.  */
+gboolean co_is_current (CoCore *core, GmTime now, GmTime since);
 
 /* Takes a message that came on the accepted LINK from the host FROM.  */
 void co_receive (CoCore *core, GmTime now, guint64 link, const char *from,
--- a/lib/control/subscriber.c
+++ b/lib/control/subscriber.c
@@ -42,6 +42,13 @@
   g_free (core);
 }
 
+void
+sb_set_peers (SbCore *core, guint peers)
+{
+  core->peers = peers;
+  core->peer %= peers;
+}
+
 const CsState *
 sb_state (const SbCore *core)
 {
--- a/lib/control/subscriber.h
+++ b/lib/control/subscriber.h
@@ -31,6 +31,8 @@
    is the age that a copy may have to serve, 0 for any once it was current.  */
 SbCore *sb_new (const char *host, guint peers, GmTime lease, GmTime now);
 void sb_free (SbCore *core);
+/* The number of control hosts has changed; the link in use stays.  */
+void sb_set_peers (SbCore *core, guint peers);
 const CsState *sb_state (const SbCore *core);
 /* Index of the control host in use.  */
 guint sb_peer (const SbCore *core);
--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -62,6 +62,7 @@
   state->groups = table_of (group_free);
   state->owners
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  state->pools = NULL;
   state->history = g_array_new (FALSE, TRUE, sizeof (CsHistory));
   g_array_set_clear_func (state->history, history_clear);
   g_queue_init (&state->audit);
@@ -74,8 +75,9 @@
   if (state == NULL)
     return;
   cf_declaration_free (state->declaration);
-  if (state->text != NULL)
-    g_bytes_unref (state->text);
+  g_clear_pointer (&state->text, g_bytes_unref);
+  g_clear_pointer (&state->source, g_bytes_unref);
+  g_clear_pointer (&state->pools, g_hash_table_unref);
   g_hash_table_unref (state->hosts);
   g_hash_table_unref (state->databases);
   g_hash_table_unref (state->groups);
@@ -112,10 +114,38 @@
   return &g_array_index (state->history, CsHistory, number - 1);
 }
 
+/* The highest number wins, in whatever order they come: one that is not higher
+   is acknowledged and changes nothing, so that a resend is never refused.  */
+static GmKind
+check_highest (const CsState *state, guint64 number, GmStatus *outcome)
+{
+  guint64 held
+      = state->declaration != NULL ? (guint64)state->declaration->number : 0;
+  if (number > held || GM_MUTANT (LOWER_WINS))
+    return gm_ok (outcome);
+  gm_fail (outcome, GM_OK,
+           "number %" G_GUINT64_FORMAT " is overtaken by %" G_GUINT64_FORMAT,
+           number, held);
+  return GM_OK;
+}
+
+/* Whether a declaration with NUMBER that passed the check takes effect.  */
+static gboolean
+takes_effect (const CsState *state, guint64 number, gboolean highest)
+{
+  if (!highest)
+    return find_history (state, number) == NULL;
+  return state->declaration == NULL
+         || number > (guint64)state->declaration->number
+         || GM_MUTANT (LOWER_WINS);
+}
+
 GmKind
 cs_check_config (const CsState *state, guint64 number, const char *digest,
-                 GmStatus *outcome)
+                 gboolean highest, GmStatus *outcome)
 {
+  if (highest)
+    return check_highest (state, number, outcome);
   const CsHistory *before = find_history (state, number);
   guint64 next = state->history->len + 1;
   if (before != NULL && GM_MUTANT (NUMBER_TWICE))
@@ -160,7 +190,8 @@
 }
 
 static gboolean
-set_declaration (CsState *state, GBytes *text, GmStatus *outcome)
+set_declaration (CsState *state, GBytes *text, GBytes *source,
+                 GmStatus *outcome)
 {
   gsize length;
   const char *data = g_bytes_get_data (text, &length);
@@ -170,10 +201,11 @@
     return FALSE;
   cf_declaration_free (state->declaration);
   state->declaration = fresh;
-  g_bytes_ref (text);
-  if (state->text != NULL)
-    g_bytes_unref (state->text);
-  state->text = text;
+  g_clear_pointer (&state->text, g_bytes_unref);
+  g_clear_pointer (&state->source, g_bytes_unref);
+  state->text = g_bytes_ref (text);
+  state->source
+      = source != NULL ? g_bytes_ref (source) : g_bytes_new (NULL, 0);
   add_groups (state);
   return TRUE;
 }
@@ -181,11 +213,13 @@
 static GmKind
 apply_config (CsState *state, const struct wm_cmd_config *c, GmStatus *outcome)
 {
-  gboolean resent = find_history (state, c->number) != NULL;
-  GmKind kind = cs_check_config (state, c->number, c->digest, outcome);
-  if (kind == GM_OK && resent)
+  gboolean highest = c->highest != 0;
+  gboolean fresh_one = takes_effect (state, c->number, highest);
+  GmKind kind
+      = cs_check_config (state, c->number, c->digest, highest, outcome);
+  if (kind == GM_OK && !fresh_one && !GM_MUTANT (NUMBER_TWICE))
     return kind;
-  if (kind == GM_OK && !set_declaration (state, c->text, outcome))
+  if (kind == GM_OK && !set_declaration (state, c->text, c->source, outcome))
     kind = GM_INVALID;
   if (kind == GM_OK)
     {
@@ -202,6 +236,13 @@
   return kind;
 }
 
+static void
+forget_owners (CsState *state)
+{
+  g_hash_table_remove_all (state->owners);
+  g_clear_pointer (&state->pools, g_hash_table_unref);
+}
+
 static GmKind
 apply_host (CsState *state, const struct wm_cmd_host *c, GmStatus *outcome)
 {
@@ -216,7 +257,7 @@
   host->data_centre = g_strdup (c->data_centre);
   host->roles = c->roles;
   g_hash_table_replace (state->hosts, host->host, host);
-  g_hash_table_remove_all (state->owners);
+  forget_owners (state);
   return gm_ok (outcome);
 }
 
@@ -228,7 +269,7 @@
   if (old == NULL || old->incarnation != c->incarnation)
     return gm_fail (outcome, GM_CONFLICT, "%s has started since", c->host);
   g_hash_table_remove (state->hosts, c->host);
-  g_hash_table_remove_all (state->owners);
+  forget_owners (state);
   return gm_ok (outcome);
 }
 
@@ -260,7 +301,9 @@
   database->connections = c->connections;
   database->leaving = c->leaving != 0;
   database->incarnation = c->incarnation;
+  database->sequence = c->sequence;
   g_hash_table_replace (state->databases, database->id, database);
+  g_clear_pointer (&state->pools, g_hash_table_unref);
   adopt_primary (state, c);
   return gm_ok (outcome);
 }
@@ -273,6 +316,7 @@
   if (old == NULL || old->incarnation != c->incarnation)
     return gm_fail (outcome, GM_CONFLICT, "%s has started since", c->id);
   g_hash_table_remove (state->databases, c->id);
+  g_clear_pointer (&state->pools, g_hash_table_unref);
   return gm_ok (outcome);
 }
 
@@ -391,7 +435,8 @@
                                         .slots = d->slots,
                                         .connections = d->connections,
                                         .leaving = d->leaving ? 1 : 0,
-                                        .incarnation = d->incarnation } };
+                                        .incarnation = d->incarnation,
+                                        .sequence = d->sequence } };
       wm_append (out, &m);
     }
 }
@@ -445,8 +490,9 @@
   GByteArray *out = g_byte_array_new ();
   if (state->text != NULL)
     {
-      WmMessage m = { .type = WM_TYPE_CMD_CONFIG,
-                      .cmd_config = { .text = state->text } };
+      WmMessage m
+          = { .type = WM_TYPE_CMD_CONFIG,
+              .cmd_config = { .text = state->text, .source = state->source } };
       wm_append (out, &m);
     }
   encode_groups (state, out);
@@ -471,7 +517,8 @@
 decode_record (CsState *state, const WmMessage *m)
 {
   if (m->type == WM_TYPE_CMD_CONFIG)
-    return set_declaration (state, m->cmd_config.text, NULL);
+    return set_declaration (state, m->cmd_config.text, m->cmd_config.source,
+                            NULL);
   if (m->type == WM_TYPE_REC_GROUP)
     decode_group (state, &m->rec_group);
   else if (m->type == WM_TYPE_REC_HISTORY)
@@ -530,28 +577,30 @@
   return declared != NULL ? (guint)declared->databases : 0;
 }
 
+/* Which of HOST and BEST, or NULL, has the higher weight under SEED.  */
+static const CsHost *
+heavier (const CsHost *host, const CsHost *best, guint64 seed)
+{
+  if (best == NULL)
+    return host;
+  guint64 a = gm_hash (host->host, strlen (host->host), seed);
+  guint64 b = gm_hash (best->host, strlen (best->host), seed);
+  if (a != b)
+    return a > b ? host : best;
+  return strcmp (host->host, best->host) < 0 ? host : best;
+}
+
 static const CsHost *
 find_owner (const CsState *state, const char *group)
 {
   guint64 seed = gm_hash (group, strlen (group), 0);
   const CsHost *best = NULL;
-  guint64 best_weight = 0;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, state->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const CsHost *host = value;
-      if ((host->roles & CS_DISPATCHER) == 0)
-        continue;
-      guint64 weight = gm_hash (host->host, strlen (host->host), seed);
-      if (best == NULL || weight > best_weight
-          || (weight == best_weight && strcmp (host->host, best->host) < 0))
-        {
-          best = host;
-          best_weight = weight;
-        }
-    }
+    if ((((CsHost *)value)->roles & CS_DISPATCHER) != 0)
+      best = heavier (value, best, seed);
   return best;
 }
 
@@ -565,3 +614,94 @@
   g_hash_table_insert (state->owners, g_strdup (group), (gpointer)owner);
   return owner;
 }
+
+static guint
+pool_hosts_in (const CsState *state, const char *data_centre)
+{
+  guint count = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, state->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CsHost *host = value;
+      if ((host->roles & CS_POOL) != 0
+          && (data_centre == NULL
+              || strcmp (host->data_centre, data_centre) == 0))
+        count++;
+    }
+  return count;
+}
+
+static guint
+databases_in (const CsState *state, const char *data_centre)
+{
+  guint count = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, state->databases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (data_centre == NULL
+        || strcmp (((CsDatabase *)value)->data_centre, data_centre) == 0)
+      count++;
+  return count;
+}
+
+/* HELD counts the databases that each host was given so far.  */
+static const CsHost *
+find_pool (const CsState *state, const CsDatabase *database, GHashTable *held)
+{
+  const char *within = database->data_centre;
+  guint hosts = pool_hosts_in (state, within);
+  if (hosts == 0)
+    {
+      within = NULL;
+      hosts = pool_hosts_in (state, NULL);
+    }
+  if (hosts == 0)
+    return NULL;
+  guint share = (databases_in (state, within) + hosts - 1) / hosts;
+  guint64 seed = gm_hash (database->id, strlen (database->id), 0);
+  const CsHost *best = NULL;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, state->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CsHost *host = value;
+      guint has = GPOINTER_TO_UINT (g_hash_table_lookup (held, host));
+      if ((host->roles & CS_POOL) != 0 && has < share
+          && (within == NULL || strcmp (host->data_centre, within) == 0))
+        best = heavier (host, best, seed);
+    }
+  if (best != NULL)
+    {
+      guint has = GPOINTER_TO_UINT (g_hash_table_lookup (held, best));
+      g_hash_table_insert (held, (gpointer)best, GUINT_TO_POINTER (has + 1));
+    }
+  return best;
+}
+
+static GHashTable *
+assign_pools (const CsState *state)
+{
+  GHashTable *pools
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_autoptr (GHashTable) held = g_hash_table_new (NULL, NULL);
+  g_autoptr (GList) databases = sorted_values (state->databases);
+  for (GList *l = databases; l != NULL; l = l->next)
+    {
+      const CsDatabase *database = l->data;
+      g_hash_table_insert (pools, g_strdup (database->id),
+                           (gpointer)find_pool (state, database, held));
+    }
+  return pools;
+}
+
+const CsHost *
+cs_pool (const CsState *state, const char *id)
+{
+  if (state->pools == NULL)
+    ((CsState *)state)->pools = assign_pools (state);
+  return g_hash_table_lookup (state->pools, id);
+}
--- a/lib/cstate/cstate.h
+++ b/lib/cstate/cstate.h
@@ -14,7 +14,8 @@
 {
   CS_ENTRY = 1,
   CS_DISPATCHER = 2,
-  CS_CONTROL = 4
+  CS_CONTROL = 4,
+  CS_POOL = 8
 };
 
 typedef struct
@@ -37,6 +38,7 @@
   guint64 connections;
   gboolean leaving;
   guint64 incarnation;
+  guint64 sequence; /* of the announcement that this is from */
 } CsDatabase;
 
 /* A database group's term.  primary is "" while the term is being sealed;
@@ -72,12 +74,14 @@
   guint64 version;
   CfDeclaration *declaration; /* NULL before the first */
   GBytes *text;
+  GBytes *source;        /* what the operator sent; empty: the text itself */
   GHashTable *hosts;     /* host -> CsHost */
   GHashTable *databases; /* id -> CsDatabase */
   GHashTable *groups;    /* group -> CsGroup */
   GArray *history;       /* CsHistory, by number */
   GQueue audit;          /* CsAudit *, oldest first */
   GHashTable *owners;    /* group -> CsHost, found since hosts changed */
+  GHashTable *pools;     /* id of a database -> CsHost, NULL: to be found */
 } CsState;
 
 /* An empty state; free it with cs_free.  */
@@ -93,7 +97,8 @@
 /* Whether an operator's declaration with NUMBER and DIGEST would be accepted
    now; the same check that cs_apply makes.  */
 GmKind cs_check_config (const CsState *state, guint64 number,
-                        const char *digest, GmStatus *outcome);
+                        const char *digest, gboolean highest,
+                        GmStatus *outcome);
 /* The state as a block, and back; NULL for a block that is damaged.  */
 GBytes *cs_encode (const CsState *state);
 CsState *cs_decode (guint64 version, GBytes *block);
@@ -106,3 +111,7 @@
 /* The host that dispatches for GROUP by rendezvous hashing over the live hosts
    with that role, or NULL.  */
 const CsHost *cs_owner (const CsState *state, const char *group);
+/* The host that holds the queue of the database ID: a host with the pool role
+   in the database's data centre if there is one, by rendezvous hashing with no
+   host holding more than its even share; or NULL.  */
+const CsHost *cs_pool (const CsState *state, const char *id);
--- a/lib/dbapi/dbapi.h
+++ b/lib/dbapi/dbapi.h
@@ -19,9 +19,28 @@
   DB_SEAL,    /* take nothing more from terms before term */
   DB_PROMOTE, /* become primary of term */
   DB_FOLLOW,  /* replicate from the primary of term */
-  DB_PLAIN    /* the statement alone */
+  DB_PLAIN,   /* the statement alone */
+  DB_EXCHANGE /* as exchange says */
 } DbCallType;
 
+/* A statement at a database that replicates and vouches for itself, with what
+   brings the connection into the session's state.  All steps that need no slot
+   travel in the same write as the statement.  */
+typedef struct
+{
+  gboolean reset;           /* forget the values and prepared names first */
+  const GPtrArray *values;  /* names and values to set, in turn */
+  const char *prepare_name; /* NULL: nothing to prepare */
+  const char *prepare_shape;
+  DpBegin begin;
+  TkPoint after; /* that the database must have; number 0: any */
+  const char *id;
+  const char *text;         /* NULL: execute execute_name with arguments */
+  const char *execute_name; /* NULL with text NULL: no statement */
+  const char *arguments;
+  gboolean roll_back; /* after the statement */
+} DbExchange;
+
 /* One call; everything in it is borrowed until its end is reported.  */
 typedef struct
 {
@@ -32,6 +51,7 @@
   guint64 term;
   const char *follow_id;
   const char *follow_address;
+  const DbExchange *exchange;
 } DbCall;
 
 typedef struct DbConn DbConn;
@@ -61,8 +81,16 @@
 {
   CfAddress address;
   gsize rows_max; /* bytes of rows that one answer may have */
+  /* What the database must say it is, where the protocol asks for it.  */
+  const char *group;
+  const char *id;
 } DbTarget;
 
+/* Opens a connection; returns at once, HANDLER hears ready or lost.  TARGET is
+   copied.  */
+typedef DbConn *(*DbOpen) (const DbTarget *target, const DbHandler *handler,
+                           gpointer owner);
+
 /* The driver for the PostgreSQL protocol.  Returns at once; HANDLER hears
    ready or lost.  TARGET is copied.  */
 DbConn *db_postgres_open (const DbTarget *target, const DbHandler *handler,
--- a/lib/dbapi/postgres.c
+++ b/lib/dbapi/postgres.c
@@ -396,6 +396,9 @@
     case DB_FOLLOW:
       send_term_call (c, call, SQL_FOLLOW, 3);
       break;
+    case DB_EXCHANGE:
+      /* A pool is given a driver whose databases vouch for themselves.  */
+      g_assert_not_reached ();
     }
 }
 
--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -31,6 +31,14 @@
   DP_PROBE   /* ask database for its status now */
 } DpActionType;
 
+/* What opens a transaction before a statement.  */
+typedef enum
+{
+  DP_NO_BEGIN,
+  DP_BEGIN_READ, /* at any database that has the wanted position */
+  DP_BEGIN_WRITE /* at the primary alone: proves that it leads */
+} DpBegin;
+
 typedef struct
 {
   DpActionType type;
@@ -52,6 +60,13 @@
   FoDatabase after;
   gboolean found; /* DP_OUTCOME: the request id is on record */
   GBytes *rows;   /* owned by the giver */
+
+  /* Of an exchange with a database that replicates and vouches for itself.  */
+  char *signature;         /* of the database over its answer; or NULL */
+  TkPoint point;           /* its log's position after the statement */
+  gboolean led;            /* it led its group while the exchange ran */
+  TkPoint lead;            /* its log's position then */
+  gboolean in_transaction; /* one is open on the connection */
 } DpOutcome;
 
 typedef struct
--- a/lib/failover/members.c
+++ b/lib/failover/members.c
@@ -7,6 +7,8 @@
   GmTime proposed; /* when a command about it was last proposed */
   guint64 config;
   guint64 version;
+  guint64 incarnation; /* of the database that announced last */
+  guint64 sequence;    /* of its last announcement */
 } Hearing;
 
 struct MbCore
@@ -137,7 +139,15 @@
       = g_hash_table_lookup (state->databases, announced->id);
   if (known != NULL && known->incarnation > announced->incarnation)
     return;
+  const Hearing *last = g_hash_table_lookup (core->databases, announced->id);
+  /* An announcement that was delayed on its way says nothing new.  */
+  if (last != NULL && announced->sequence != 0
+      && last->incarnation == announced->incarnation
+      && announced->sequence <= last->sequence)
+    return;
   Hearing *hearing = hear (core->databases, announced->id, now);
+  hearing->incarnation = announced->incarnation;
+  hearing->sequence = announced->sequence;
   gboolean same = known != NULL && known->incarnation == announced->incarnation
                   && known->leaving == (announced->leaving != 0)
                   && known->slots == announced->slots
--- /dev/null
+++ b/lib/session/router.c
@@ -0,0 +1,242 @@
+#include "router.h"
+#include "base/mutant.h"
+#include <string.h>
+
+/* Usual times of a trip to a database's pool and on, as measured on the
+   operators' platform.  */
+#define TRIP_NEAR (1 * GM_MS)
+#define TRIP_FAR (3 * GM_MS)
+/* A read at the primary takes a slot that writes can't have elsewhere: it is
+   worth this much waiting at a replica, about one statement's time.  */
+#define PRIMARY_COST (8 * GM_MS)
+/* An estimate of lag halves in this time, so that a replica that has caught up
+   is tried again.  */
+#define LAG_HALVES (500 * GM_MS)
+
+typedef struct
+{
+  GmTime wait;
+  GmTime wait_at;
+  GmTime lag;
+  GmTime lag_at;
+} Estimate;
+
+typedef struct
+{
+  TkPoint point;
+  GmTime at;
+} Sample;
+
+typedef struct
+{
+  GPtrArray *databases; /* char *, ids */
+  Sample kept[SR_KEPT]; /* a ring, SR_SPACING apart */
+  guint next;
+  Sample newest;
+} Group;
+
+struct SrRouter
+{
+  char *data_centre;
+  GHashTable *groups;    /* name -> Group */
+  GHashTable *estimates; /* id -> Estimate */
+};
+
+static void
+group_free (Group *group)
+{
+  g_ptr_array_unref (group->databases);
+  g_free (group);
+}
+
+SrRouter *
+sr_new (const char *data_centre)
+{
+  SrRouter *router = g_new0 (SrRouter, 1);
+  router->data_centre = g_strdup (data_centre);
+  router->groups = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                          (GDestroyNotify)group_free);
+  router->estimates
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return router;
+}
+
+void
+sr_free (SrRouter *router)
+{
+  g_hash_table_unref (router->groups);
+  g_hash_table_unref (router->estimates);
+  g_free (router->data_centre);
+  g_free (router);
+}
+
+static Group *
+group_of (SrRouter *router, const char *name)
+{
+  Group *group = g_hash_table_lookup (router->groups, name);
+  if (group == NULL)
+    {
+      group = g_new0 (Group, 1);
+      group->databases = g_ptr_array_new_with_free_func (g_free);
+      g_hash_table_insert (router->groups, g_strdup (name), group);
+    }
+  return group;
+}
+
+void
+sr_state (SrRouter *router, const CsState *state)
+{
+  GHashTableIter iter;
+  gpointer key, value;
+  g_hash_table_iter_init (&iter, router->groups);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (cs_group (state, key) == NULL)
+      g_hash_table_iter_remove (&iter);
+    else
+      g_ptr_array_set_size (((Group *)value)->databases, 0);
+  g_hash_table_iter_init (&iter, state->databases);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    g_ptr_array_add (
+        group_of (router, ((CsDatabase *)value)->group)->databases,
+        g_strdup (key));
+  g_hash_table_iter_init (&iter, router->estimates);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (!g_hash_table_contains (state->databases, key))
+      g_hash_table_iter_remove (&iter);
+}
+
+static Estimate *
+estimate_of (SrRouter *router, const char *id)
+{
+  Estimate *estimate = g_hash_table_lookup (router->estimates, id);
+  if (estimate == NULL)
+    {
+      estimate = g_new0 (Estimate, 1);
+      g_hash_table_insert (router->estimates, g_strdup (id), estimate);
+    }
+  return estimate;
+}
+
+void
+sr_note_lead (SrRouter *router, const char *name, TkPoint point, GmTime at)
+{
+  Group *group = group_of (router, name);
+  if (group->newest.at != 0 && at <= group->newest.at)
+    return;
+  Sample *last = &group->kept[(group->next + SR_KEPT - 1) % SR_KEPT];
+  group->newest = (Sample){ point, at };
+  if (last->at != 0 && at < last->at + SR_SPACING)
+    return;
+  group->kept[group->next] = group->newest;
+  group->next = (group->next + 1) % SR_KEPT;
+}
+
+void
+sr_note_wait (SrRouter *router, GmTime now, const char *id, GmTime wait)
+{
+  Estimate *estimate = estimate_of (router, id);
+  estimate->wait = wait;
+  estimate->wait_at = now;
+}
+
+static GmTime
+lag_now (const Estimate *estimate, GmTime now)
+{
+  GmTime halvings = (now - estimate->lag_at) / LAG_HALVES;
+  return halvings < 20 ? estimate->lag >> halvings : 0;
+}
+
+void
+sr_note_lag (SrRouter *router, GmTime now, const char *id, gboolean lacks,
+             GmTime age)
+{
+  Estimate *estimate = estimate_of (router, id);
+  GmTime lag = lag_now (estimate, now);
+  if (lacks == (age < lag))
+    return;
+  estimate->lag = age;
+  estimate->lag_at = now;
+}
+
+gboolean
+sr_point (const SrRouter *router, const char *name, GmTime since,
+          TkPoint *point, GmTime *at)
+{
+  const Group *group = g_hash_table_lookup (router->groups, name);
+  const Sample *best = NULL;
+  if (group == NULL || group->newest.at == 0)
+    return FALSE;
+  if (GM_MUTANT (OLD_SAMPLE))
+    since = G_MININT64;
+  if (group->newest.at >= since)
+    best = &group->newest;
+  for (guint i = 0; i < SR_KEPT; i++)
+    {
+      const Sample *s = &group->kept[i];
+      if (s->at != 0 && s->at >= since && (best == NULL || s->at < best->at))
+        best = s;
+    }
+  if (best == NULL)
+    return FALSE;
+  *point = best->point;
+  *at = best->at;
+  return TRUE;
+}
+
+GmTime
+sr_newest (const SrRouter *router, const char *name)
+{
+  const Group *group = g_hash_table_lookup (router->groups, name);
+  return group != NULL ? group->newest.at : 0;
+}
+
+const CsDatabase *
+sr_primary (const SrRouter *router, const CsState *state, const char *name)
+{
+  (void)router;
+  const CsGroup *group = cs_group (state, name);
+  return group != NULL && *group->primary != '\0'
+             ? g_hash_table_lookup (state->databases, group->primary)
+             : NULL;
+}
+
+static GmTime
+expected_time (const SrRouter *router, GmTime now, const CsDatabase *database,
+               gboolean primary)
+{
+  const Estimate *estimate
+      = g_hash_table_lookup (router->estimates, database->id);
+  GmTime wait = 0;
+  if (estimate != NULL)
+    wait = MAX (estimate->wait - (now - estimate->wait_at), 0);
+  gboolean near = strcmp (database->data_centre, router->data_centre) == 0;
+  return wait + (near ? TRIP_NEAR : TRIP_FAR) + (primary ? PRIMARY_COST : 0);
+}
+
+const CsDatabase *
+sr_reader (const SrRouter *router, const CsState *state, GmTime now,
+           const char *name, GmTime age, const char *except)
+{
+  const Group *group = g_hash_table_lookup (router->groups, name);
+  const CsDatabase *primary = sr_primary (router, state, name);
+  const CsDatabase *best = NULL;
+  GmTime best_time = G_MAXINT64;
+  for (guint i = 0; group != NULL && i < group->databases->len; i++)
+    {
+      const char *id = g_ptr_array_index (group->databases, i);
+      const CsDatabase *d = g_hash_table_lookup (state->databases, id);
+      const Estimate *estimate = g_hash_table_lookup (router->estimates, id);
+      if (d == NULL || g_strcmp0 (id, except) == 0
+          || (d->leaving && d != primary)
+          || (d != primary && estimate != NULL
+              && lag_now (estimate, now) > age))
+        continue;
+      GmTime time = expected_time (router, now, d, d == primary);
+      if (time < best_time)
+        {
+          best = d;
+          best_time = time;
+        }
+    }
+  return best;
+}
--- /dev/null
+++ b/lib/session/router.h
@@ -0,0 +1,52 @@
+/* Which database a statement goes to, as one entry host sees it.
+
+   The router keeps, from answers alone, how long each database's queue is and
+   how far each replica lags, and for each group the positions that its primary
+   had while it was proved to lead.  Such a position, taken at a time, holds
+   every write that was acknowledged before then: a read may run at any
+   database that has it.  The database checks; a wrong guess here costs a trip,
+   never a stale answer.
+
+   Pure: no clock, no sockets.  */
+#pragma once
+#include "cstate/cstate.h"
+#include "token/token.h"
+
+#define SR_SPACING                                                            \
+  (50 * GM_MS)     /* between kept positions: a thirtieth of the              \
+                      shortest age bound declared */
+#define SR_KEPT 64 /* positions: over 3 s, more than the longest age bound */
+
+typedef struct SrRouter SrRouter;
+
+/* A router on a host of DATA_CENTRE.  */
+SrRouter *sr_new (const char *data_centre);
+void sr_free (SrRouter *router);
+/* The control state changed.  */
+void sr_state (SrRouter *router, const CsState *state);
+
+/* A primary of GROUP had POINT when it was proved to lead, not before AT.  */
+void sr_note_lead (SrRouter *router, const char *group, TkPoint point,
+                   GmTime at);
+/* The database ID would let a further statement wait for WAIT.  */
+void sr_note_wait (SrRouter *router, GmTime now, const char *id, GmTime wait);
+/* The replica ID had a position, or lacked one, that the group's primary had
+   reached AGE ago.  */
+void sr_note_lag (SrRouter *router, GmTime now, const char *id, gboolean lacks,
+                  GmTime age);
+
+/* The oldest position of GROUP that holds every write acknowledged before
+   SINCE, and when it was taken; FALSE when none is known.  */
+gboolean sr_point (const SrRouter *router, const char *group, GmTime since,
+                   TkPoint *point, GmTime *at);
+/* When the newest position of GROUP was taken; 0: none is known.  */
+GmTime sr_newest (const SrRouter *router, const char *group);
+/* The primary of GROUP, or NULL.  */
+const CsDatabase *sr_primary (const SrRouter *router, const CsState *state,
+                              const char *group);
+/* The database of GROUP that is expected to answer a read first, which may
+   show a state AGE old; EXCEPT, or NULL, is not chosen.  NULL when there is
+   none.  */
+const CsDatabase *sr_reader (const SrRouter *router, const CsState *state,
+                             GmTime now, const char *group, GmTime age,
+                             const char *except);
--- /dev/null
+++ b/lib/session/session.c
@@ -0,0 +1,698 @@
+#include "session.h"
+#include "base/event.h"
+#include "base/mutant.h"
+#include "pool/pool.h"
+#include <string.h>
+
+/* Kept from an age bound for the way to the database.  */
+#define AGE_MARGIN (20 * GM_MS)
+/* For a transaction to be rolled back, which needs no slot.  */
+#define RELEASE_TIME (1 * GM_SECOND)
+
+typedef struct
+{
+  gboolean writes;
+  char *shape;
+} Prepared;
+
+/* The statement on its way.  */
+typedef struct
+{
+  SnStatement statement;
+  PlOperation operation;
+  gboolean writes;
+  const char *shape; /* of an execution; owned by the session */
+  GmTime arrived;
+  GmTime deadline;
+  guint attempts;
+  GmTime sent_at;
+  TkPoint after;
+  GmTime after_at; /* when the position was the group's newest */
+  DpBegin begins;
+  char *database;
+  char *host; /* that holds its pool */
+  char *address;
+  char *except; /* a replica that could not serve it, or NULL */
+} Call;
+
+struct SnSession
+{
+  char *service;
+  char *group;
+  GTree *values; /* name -> value */
+  gsize values_bytes;
+  GHashTable *prepared; /* name -> Prepared */
+  SnState state;
+  gboolean read_only; /* the transaction */
+  gboolean wrote;     /* the transaction */
+  TkPoint own;        /* after the session's last write */
+  GmTime own_at;
+  TkPoint point;
+
+  /* Where the transaction is open, once it is.  */
+  guint64 transaction;
+  guint64 holder;
+  char *host;
+  char *address;
+  char *database;
+
+  gboolean busy;
+  Call call;
+};
+
+void
+sn_statement_clear (SnStatement *statement)
+{
+  g_free (statement->id);
+  g_free (statement->text);
+  g_free (statement->name);
+  g_free (statement->argument);
+  memset (statement, 0, sizeof *statement);
+}
+
+void
+sn_step_clear (SnStep *step)
+{
+  g_free (step->signature);
+  g_clear_pointer (&step->rows, g_bytes_unref);
+  g_free (step->host);
+  g_free (step->address);
+  if (step->next == SN_SEND)
+    wm_clear (&step->statement);
+  if (step->release_host != NULL)
+    wm_clear (&step->release);
+  g_free (step->release_host);
+  g_free (step->release_address);
+  memset (step, 0, sizeof *step);
+}
+
+static void
+prepared_free (Prepared *prepared)
+{
+  g_free (prepared->shape);
+  g_free (prepared);
+}
+
+static int
+compare_names (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void)data;
+  return strcmp (a, b);
+}
+
+SnSession *
+sn_new (const char *service)
+{
+  SnSession *s = g_new0 (SnSession, 1);
+  s->service = g_strdup (service);
+  s->values = g_tree_new_full (compare_names, NULL, g_free, g_free);
+  s->prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                       (GDestroyNotify)prepared_free);
+  return s;
+}
+
+static void
+call_clear (Call *call)
+{
+  sn_statement_clear (&call->statement);
+  g_free (call->database);
+  g_free (call->host);
+  g_free (call->address);
+  g_free (call->except);
+  memset (call, 0, sizeof *call);
+}
+
+static void
+forget_transaction (SnSession *s)
+{
+  s->transaction = 0;
+  g_clear_pointer (&s->host, g_free);
+  g_clear_pointer (&s->address, g_free);
+  g_clear_pointer (&s->database, g_free);
+}
+
+void
+sn_free (SnSession *s)
+{
+  call_clear (&s->call);
+  forget_transaction (s);
+  g_tree_unref (s->values);
+  g_hash_table_unref (s->prepared);
+  g_free (s->service);
+  g_free (s->group);
+  g_free (s);
+}
+
+SnState
+sn_state (const SnSession *s)
+{
+  return s->state;
+}
+
+const char *
+sn_service (const SnSession *s)
+{
+  return s->service;
+}
+
+TkPoint
+sn_point (const SnSession *s)
+{
+  return s->point;
+}
+
+gboolean
+sn_is_busy (const SnSession *s)
+{
+  return s->busy;
+}
+
+/* Gives the open transaction up: whoever holds it rolls it back.  */
+static void
+release (SnSession *s, SnStep *step)
+{
+  if (s->transaction == 0)
+    return;
+  step->release_host = g_steal_pointer (&s->host);
+  step->release_address = g_steal_pointer (&s->address);
+  step->release
+      = (WmMessage){ .type = WM_TYPE_STATEMENT,
+                     .statement = { .database = g_strdup (s->database),
+                                    .holder = s->holder,
+                                    .operation = PL_ROLLBACK,
+                                    .transaction = s->transaction,
+                                    .service = g_strdup (s->service),
+                                    .deadline = RELEASE_TIME } };
+  forget_transaction (s);
+}
+
+/* Ends the statement on its way with an answer that no database gave.  */
+static void
+answer (SnSession *s, SnStep *step, GmKind kind, const char *message)
+{
+  step->next = SN_ANSWER;
+  step->kind = kind;
+  g_strlcpy (step->message, message, sizeof step->message);
+  if (kind != GM_OK && s->state != SN_NO_TRANSACTION)
+    {
+      s->state = s->call.operation == PL_COMMIT && s->busy ? SN_NO_TRANSACTION
+                                                           : SN_FAILED;
+      release (s, step);
+    }
+  s->busy = FALSE;
+  call_clear (&s->call);
+}
+
+static void
+wait_until (SnStep *step, GmTime until)
+{
+  step->next = SN_WAIT;
+  step->until = until;
+}
+
+static gboolean
+add_value (gpointer name, gpointer value, gpointer data)
+{
+  g_ptr_array_add (data, name);
+  g_ptr_array_add (data, value);
+  return FALSE;
+}
+
+static GBytes *
+encode_values (const SnSession *s)
+{
+  g_autoptr (GPtrArray) list = g_ptr_array_new ();
+  g_tree_foreach (s->values, add_value, list);
+  return wm_strings_encode ((const char *const *)list->pdata, list->len);
+}
+
+/* Sends the statement on its way to HOST, which holds DATABASE's pool.  */
+static void
+send (SnSession *s, const SnWorld *world, const char *host,
+      const char *address, const char *database, guint64 incarnation,
+      SnStep *step)
+{
+  Call *call = &s->call;
+  const SnStatement *statement = &call->statement;
+  gboolean executes = statement->verb == SN_EXECUTE;
+  char *old[] = { call->database, call->host, call->address };
+  call->database = g_strdup (database);
+  call->host = g_strdup (host);
+  call->address = g_strdup (address);
+  for (gsize i = 0; i < G_N_ELEMENTS (old); i++)
+    g_free (old[i]);
+  call->attempts++;
+  call->sent_at = world->now;
+  step->next = SN_SEND;
+  step->host = g_strdup (host);
+  step->address = g_strdup (address);
+  step->statement = (WmMessage){
+    .type = WM_TYPE_STATEMENT,
+    .statement
+    = { .database = g_strdup (database),
+        .incarnation = incarnation,
+        .holder = s->transaction != 0 ? s->holder : 0,
+        .operation = call->operation,
+        .begins = call->begins,
+        .transaction = s->transaction,
+        .service = g_strdup (s->service),
+        .deadline = (guint64)MAX (call->deadline - world->now, 0),
+        .after_term = call->after.term,
+        .after_number = call->after.position,
+        .id = g_strdup (statement->id),
+        .text = g_strdup (executes ? NULL : statement->text),
+        .prepared = g_strdup (executes ? call->shape : NULL),
+        .arguments = g_strdup (executes ? statement->argument : NULL),
+        .values = encode_values (s) }
+  };
+}
+
+/* Sets the position that a read must see.  FALSE when the primary has to prove
+   its lead instead.  */
+static gboolean
+set_after (SnSession *s, const SnWorld *world, const CfService *service)
+{
+  Call *call = &s->call;
+  gboolean session = service->reads == CF_READS_SESSION;
+  call->after = (TkPoint){ 0, 0 };
+  if (service->reads == CF_READS_PRIMARY)
+    return FALSE;
+  GmTime since
+      = service->max_age_ms < 0
+            ? G_MININT64
+            : call->arrived - service->max_age_ms * GM_MS + AGE_MARGIN;
+  if (!sr_point (world->router, s->group, since, &call->after,
+                 &call->after_at))
+    return FALSE;
+  if (session && tk_point_compare (s->own, call->after) > 0)
+    {
+      call->after = s->own;
+      call->after_at = s->own_at;
+    }
+  return call->after.position > 0;
+}
+
+/* Chooses the database for a statement outside a started transaction.  */
+static const CsDatabase *
+choose (SnSession *s, const SnWorld *world, const CfService *service)
+{
+  Call *call = &s->call;
+  gboolean opens = s->state == SN_IN_TRANSACTION;
+  gboolean reads = opens ? s->read_only : !call->writes;
+  call->begins = opens ? DP_BEGIN_WRITE : DP_NO_BEGIN;
+  if (!reads || !set_after (s, world, service))
+    return sr_primary (world->router, world->state, s->group);
+  if (opens)
+    call->begins = DP_BEGIN_READ;
+  return sr_reader (world->router, world->state, world->now, s->group,
+                    world->now - call->after_at, call->except);
+}
+
+static const CfService *
+find_service (const SnSession *s, const SnWorld *world)
+{
+  return world->state->declaration != NULL
+             ? cf_service_find (world->state->declaration, s->service)
+             : NULL;
+}
+
+static void
+later (SnSession *s, const SnWorld *world, SnStep *step, GmKind kind,
+       const char *message)
+{
+  GmTime at = world->now + SN_RETRY;
+  if (s->call.attempts >= SN_ATTEMPTS_MAX || at >= s->call.deadline)
+    {
+      step->retry_ms = (guint64)(SN_RETRY / GM_MS);
+      answer (s, step, kind, message);
+    }
+  else
+    wait_until (step, at);
+}
+
+/* Sends the statement on its way to where it belongs now.  */
+static void
+forward (SnSession *s, const SnWorld *world, SnStep *step)
+{
+  if (s->transaction != 0)
+    {
+      send (s, world, s->host, s->address, s->database, 0, step);
+      return;
+    }
+  const CfService *service = find_service (s, world);
+  if (service == NULL)
+    {
+      answer (s, step, GM_UNKNOWN_SERVICE, "not run: no such service");
+      return;
+    }
+  const char *group = g_ptr_array_index (service->depends_on, 0);
+  if (g_strcmp0 (s->group, group) != 0)
+    {
+      /* A position of another group's log says nothing here.  */
+      g_free (s->group);
+      s->group = g_strdup (group);
+      s->own = (TkPoint){ 0, 0 };
+    }
+  const CsDatabase *database = choose (s, world, service);
+  const CsHost *host
+      = database != NULL ? cs_pool (world->state, database->id) : NULL;
+  if (host == NULL)
+    {
+      s->call.attempts++;
+      later (s, world, step, GM_UNAVAILABLE,
+             "not run: no database is there to serve it");
+      return;
+    }
+  send (s, world, host->host, host->link, database->id, database->incarnation,
+        step);
+}
+
+static void
+set_value (SnSession *s, SnStatement *st, SnStep *step)
+{
+  gsize bytes = strlen (st->name) + strlen (st->argument);
+  gboolean known = g_tree_lookup (s->values, st->name) != NULL;
+  if ((!known && g_tree_nnodes (s->values) >= SN_VALUES_MAX)
+      || s->values_bytes + bytes > SN_VALUES_BYTES_MAX)
+    {
+      answer (s, step, GM_TOO_LARGE, "the session holds too many values");
+      return;
+    }
+  if (!known)
+    s->values_bytes += bytes;
+  g_tree_replace (s->values, g_steal_pointer (&st->name),
+                  g_steal_pointer (&st->argument));
+  answer (s, step, GM_OK, "");
+}
+
+static void
+prepare (SnSession *s, SnStatement *st, SnStep *step)
+{
+  if (g_hash_table_size (s->prepared) >= SN_PREPARED_MAX)
+    {
+      answer (s, step, GM_TOO_LARGE,
+              "the session holds too many prepared statements");
+      return;
+    }
+  Prepared *prepared = g_new0 (Prepared, 1);
+  prepared->writes = st->writes;
+  prepared->shape = g_steal_pointer (&st->argument);
+  g_hash_table_replace (s->prepared, g_steal_pointer (&st->name), prepared);
+  answer (s, step, GM_OK, "");
+}
+
+static void
+begin (SnSession *s, const SnStatement *st, SnStep *step)
+{
+  if (s->state != SN_NO_TRANSACTION)
+    {
+      answer (s, step, GM_INVALID, "a transaction is open already");
+      return;
+    }
+  s->state = SN_IN_TRANSACTION;
+  s->read_only = st->read_only;
+  s->wrote = FALSE;
+  answer (s, step, GM_OK, "");
+}
+
+static void
+roll_back (SnSession *s, SnStep *step)
+{
+  if (s->state == SN_NO_TRANSACTION)
+    {
+      answer (s, step, GM_INVALID, "no transaction is open");
+      return;
+    }
+  release (s, step);
+  s->state = SN_NO_TRANSACTION;
+  answer (s, step, GM_OK, "");
+}
+
+/* Answers what needs no database.  FALSE when STATEMENT needs one.  */
+static gboolean
+serve_here (SnSession *s, SnStatement *st, SnStep *step)
+{
+  if (s->state == SN_FAILED && st->verb != SN_ROLLBACK
+      && st->verb != SN_COMMIT)
+    {
+      answer (s, step, GM_INVALID,
+              "the transaction has failed; it can only be ended");
+      return TRUE;
+    }
+  switch (st->verb)
+    {
+    case SN_SET:
+      set_value (s, st, step);
+      return TRUE;
+    case SN_PREPARE:
+      prepare (s, st, step);
+      return TRUE;
+    case SN_DEALLOCATE:
+      if (g_hash_table_remove (s->prepared, st->name))
+        answer (s, step, GM_OK, "");
+      else
+        answer (s, step, GM_INVALID, "no statement is prepared by this name");
+      return TRUE;
+    case SN_BEGIN:
+      begin (s, st, step);
+      return TRUE;
+    case SN_ROLLBACK:
+      roll_back (s, step);
+      return TRUE;
+    case SN_COMMIT:
+      if (s->state == SN_IN_TRANSACTION)
+        return FALSE;
+      if (s->state == SN_FAILED)
+        {
+          s->state = SN_NO_TRANSACTION;
+          answer (s, step, GM_TRANSACTION_LOST,
+                  "the transaction has failed; it has no effect");
+        }
+      else
+        answer (s, step, GM_INVALID, "no transaction is open");
+      return TRUE;
+    default:
+      return FALSE;
+    }
+}
+
+/* Sets what kind of statement is on its way.  FALSE when it can't be.  */
+static gboolean
+classify (SnSession *s, SnStep *step)
+{
+  Call *call = &s->call;
+  const SnStatement *st = &call->statement;
+  call->writes = st->verb == SN_WRITE;
+  if (st->verb == SN_EXECUTE)
+    {
+      const Prepared *prepared = g_hash_table_lookup (s->prepared, st->name);
+      if (prepared == NULL)
+        {
+          answer (s, step, GM_INVALID,
+                  "no statement is prepared by this name");
+          return FALSE;
+        }
+      call->writes = prepared->writes;
+      call->shape = prepared->shape;
+    }
+  if (call->writes && s->state == SN_IN_TRANSACTION && s->read_only)
+    {
+      answer (s, step, GM_READ_ONLY, "the transaction only reads");
+      return FALSE;
+    }
+  call->operation = st->verb == SN_COMMIT           ? PL_COMMIT
+                    : s->state == SN_IN_TRANSACTION ? PL_INSIDE
+                    : call->writes                  ? PL_WRITE
+                                                    : PL_READ;
+  return TRUE;
+}
+
+void
+sn_take (SnSession *s, const SnWorld *world, SnStatement *statement,
+         SnStep *step)
+{
+  g_assert (!s->busy);
+  memset (step, 0, sizeof *step);
+  const CfService *service = find_service (s, world);
+  SnStatement st = *statement;
+  memset (statement, 0, sizeof *statement);
+  if (serve_here (s, &st, step))
+    {
+      sn_statement_clear (&st);
+      return;
+    }
+  s->call.statement = st;
+  s->call.arrived = world->now;
+  s->call.deadline
+      = world->now + (service != NULL ? service->deadline_ms * GM_MS : 0);
+  s->busy = TRUE;
+  if (classify (s, step))
+    forward (s, world, step);
+}
+
+void
+sn_refuse (SnSession *s, GmKind kind, const char *message, SnStep *step)
+{
+  g_assert (!s->busy);
+  memset (step, 0, sizeof *step);
+  answer (s, step, kind, message);
+}
+
+/* What an answer tells about its database and group.  */
+static void
+learn (SnSession *s, const SnWorld *world,
+       const struct wm_statement_done *done)
+{
+  const Call *call = &s->call;
+  GmTime now = world->now;
+  if (done->lead_number > 0)
+    sr_note_lead (world->router, s->group,
+                  (TkPoint){ done->lead_term, done->lead_number },
+                  call->sent_at - (GmTime)MIN (done->lead_age, G_MAXINT32));
+  sr_note_wait (world->router, now, call->database,
+                (GmTime)MIN (done->wait, G_MAXINT32));
+  if (call->after.position > 0
+      && (done->kind == GM_OK || done->kind == GM_LAGGING))
+    sr_note_lag (world->router, now, call->database, done->kind == GM_LAGGING,
+                 now - call->after_at);
+}
+
+/* Follows the transaction as the pool tells of it.  */
+static void
+follow_transaction (SnSession *s, const struct wm_statement_done *done)
+{
+  Call *call = &s->call;
+  if (s->state != SN_IN_TRANSACTION)
+    return;
+  s->wrote = s->wrote || call->writes;
+  if (done->open == 0)
+    forget_transaction (s);
+  else if (s->transaction == 0)
+    {
+      s->transaction = done->transaction;
+      s->holder = done->holder;
+      s->database = g_strdup (call->database);
+      s->host = g_strdup (call->host);
+      s->address = g_strdup (call->address);
+    }
+}
+
+/* Ends the statement on its way with the answer of its database.  */
+static void
+pass_on (SnSession *s, const SnWorld *world,
+         const struct wm_statement_done *done, SnStep *step)
+{
+  const Call *call = &s->call;
+  gboolean committed = call->operation == PL_COMMIT && done->kind == GM_OK;
+  gboolean wrote = call->operation == PL_WRITE || (committed && s->wrote);
+  if (done->kind == GM_OK && done->point_number > 0)
+    s->point = (TkPoint){ done->point_term, done->point_number };
+  if (done->kind == GM_OK && wrote)
+    {
+      s->own = s->point;
+      s->own_at = world->now;
+    }
+  if (committed)
+    s->state = SN_NO_TRANSACTION;
+  step->retry_ms = done->retry_ms;
+  if (done->kind == GM_OK)
+    {
+      step->signature = g_strdup (done->signature);
+      step->rows = done->rows != NULL ? g_bytes_ref (done->rows) : NULL;
+    }
+  answer (s, step, (GmKind)done->kind,
+          done->message != NULL ? done->message : "");
+}
+
+/* Whether the statement on its way, answered with KIND, may be sent again:
+   nothing of it was kept, and another database or moment may serve it.  */
+static gboolean
+may_try_again (const SnSession *s, GmKind kind)
+{
+  const Call *call = &s->call;
+  if (s->transaction != 0 || gm_kind_ran (kind) != GM_RAN_NO
+      || call->attempts >= SN_ATTEMPTS_MAX)
+    return FALSE;
+  switch (kind)
+    {
+    case GM_UNAVAILABLE:
+    case GM_DRAINING:
+    case GM_STALE:
+    case GM_LAGGING:
+    case GM_READ_ONLY:
+      return TRUE;
+    case GM_DEADLINE:
+    case GM_QUEUE_FULL:
+      /* Another replica may have a shorter queue; the primary's is the only
+         one for the rest.  */
+      return call->after.position > 0 && call->except == NULL;
+    default:
+      return FALSE;
+    }
+}
+
+void
+sn_result (SnSession *s, const SnWorld *world,
+           const struct wm_statement_done *done, SnStep *step)
+{
+  memset (step, 0, sizeof *step);
+  GmKind kind = done->kind < GM_KIND_COUNT ? (GmKind)done->kind : GM_INTERNAL;
+  learn (s, world, done);
+  if (may_try_again (s, kind))
+    {
+      Call *call = &s->call;
+      gboolean elsewhere = call->after.position > 0 && call->except == NULL
+                           && (kind == GM_LAGGING || kind == GM_DEADLINE
+                               || kind == GM_QUEUE_FULL);
+      g_free (call->except);
+      call->except = g_strdup (call->database);
+      gm_count (GM_M_statements_again_total, 1);
+      if (elsewhere)
+        forward (s, world, step);
+      else
+        later (s, world, step, kind, done->message);
+      return;
+    }
+  follow_transaction (s, done);
+  pass_on (s, world, done, step);
+}
+
+void
+sn_lost (SnSession *s, const SnWorld *world, gboolean sent, SnStep *step)
+{
+  memset (step, 0, sizeof *step);
+  const Call *call = &s->call;
+  gboolean harmless = !sent || call->operation == PL_READ;
+  gboolean kept = (call->operation == PL_WRITE || call->operation == PL_COMMIT)
+                  && sent && !GM_MUTANT (GUESS_NOT_RUN);
+  if (harmless && s->transaction == 0)
+    later (s, world, step, GM_UNAVAILABLE,
+           "not run: the host that holds the queue can't be reached");
+  else if (kept)
+    {
+      forget_transaction (s);
+      answer (s, step, GM_OUTCOME_UNKNOWN,
+              "the host that held the queue was lost while the statement ran");
+    }
+  else
+    {
+      forget_transaction (s);
+      answer (s, step, GM_TRANSACTION_LOST,
+              "the transaction's host was lost; it has no effect");
+    }
+}
+
+void
+sn_retry (SnSession *s, const SnWorld *world, SnStep *step)
+{
+  memset (step, 0, sizeof *step);
+  forward (s, world, step);
+}
+
+void
+sn_end (SnSession *s, SnStep *step)
+{
+  memset (step, 0, sizeof *step);
+  step->next = SN_ANSWER;
+  release (s, step);
+}
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -40,7 +40,7 @@
   U (term) S (from) S (disk) U (index) U (index_term) U (sent) \
   B (members) B (data)
 #define WM_JOIN(U, S, B) \
-  S (from) S (disk) S (address)
+  S (from) S (disk) S (address) U (forwarded)
 
 /* Subscriptions to the control state.  */
 #define WM_SUBSCRIBE(U, S, B) \
@@ -87,16 +87,35 @@
   U (transaction) U (token_term) U (token_position) S (database) \
   U (replica) B (rows)
 
+/* Statements from an entry host to the pool of one database.  operation is a
+   PlOperation, begins a DpBegin; incarnation is that of the database, holder
+   that of the pool's process, which gave the transaction its number; deadline
+   is the time left in microseconds.  values holds the session's names and
+   values in turn, prepared the shape of the statement that is executed.  A
+   statement is either text or prepared with arguments.  */
+#define WM_STATEMENT(U, S, B) \
+  U (sequence) S (database) U (incarnation) U (holder) U (operation) \
+  U (begins) U (transaction) S (service) U (deadline) U (after_term) \
+  U (after_number) S (id) S (text) S (prepared) S (arguments) B (values)
+/* point is the position after the statement.  lead is the newest position of
+   which the pool knows that it held every write acknowledged age microseconds
+   ago.  wait is the time that a further statement would wait.  open says
+   whether the transaction goes on.  */
+#define WM_STATEMENT_DONE(U, S, B) \
+  U (sequence) U (kind) S (message) U (retry_ms) U (holder) U (transaction) \
+  U (open) U (point_term) U (point_number) U (lead_term) U (lead_number) \
+  U (lead_age) U (wait) S (signature) B (rows)
+
 /* Commands of the control log.  */
 #define WM_CMD_CONFIG(U, S, B) \
-  U (number) S (digest) B (text) S (who) U (when)
+  U (number) S (digest) B (text) S (who) U (when) U (highest) B (source)
 #define WM_CMD_HOST(U, S, B) \
   S (host) U (incarnation) S (caller) S (link) S (data_centre) U (roles)
 #define WM_CMD_HOST_DOWN(U, S, B) \
   S (host) U (incarnation)
 #define WM_CMD_DATABASE(U, S, B) \
   S (id) S (group) S (address) S (data_centre) U (slots) U (connections) \
-  U (leaving) U (incarnation) U (term) U (primary)
+  U (leaving) U (incarnation) U (term) U (primary) U (sequence)
 #define WM_CMD_DATABASE_DOWN(U, S, B) \
   S (id) U (incarnation)
 #define WM_CMD_TERM(U, S, B) \
@@ -145,6 +164,8 @@
   M (SEEN, seen)                                                              \
   M (EXEC, exec)                                                              \
   M (RESULT, result)                                                          \
+  M (STATEMENT, statement)                                                    \
+  M (STATEMENT_DONE, statement_done)                                          \
   M (CMD_CONFIG, cmd_config)                                                  \
   M (CMD_HOST, cmd_host)                                                      \
   M (CMD_HOST_DOWN, cmd_host_down)                                            \
