--- a/lib/session/router.c
+++ b/lib/session/router.c
@@ -9,16 +9,19 @@
 /* A read at the primary takes a slot that writes can't have elsewhere: it is
    worth this much waiting at a replica, about one statement's time.  */
 #define PRIMARY_COST (8 * GM_MS)
-/* An estimate of lag halves in this time, so that a replica that has caught up
-   is tried again.  */
-#define LAG_HALVES (500 * GM_MS)
+/* A replica that lacked a position is asked again after the first time, then
+   after twice as long, up to the last: each try costs a read a trip, and all
+   entry hosts try.  */
+#define LAG_RETRY (50 * GM_MS)
+#define LAG_RETRY_MAX (1 * GM_SECOND)
 
 typedef struct
 {
   GmTime wait;
   GmTime wait_at;
-  GmTime lag;
-  GmTime lag_at;
+  GmTime lag;   /* it lacked a position of that age; 0: it has kept up */
+  GmTime retry; /* between two tries while it lags */
+  GmTime retry_at;
 } Estimate;
 
 typedef struct
@@ -139,23 +142,26 @@
   estimate->wait_at = now;
 }
 
-static GmTime
-lag_now (const Estimate *estimate, GmTime now)
-{
-  GmTime halvings = (now - estimate->lag_at) / LAG_HALVES;
-  return halvings < 20 ? estimate->lag >> halvings : 0;
-}
-
 void
 sr_note_lag (SrRouter *router, GmTime now, const char *id, gboolean lacks,
              GmTime age)
 {
-  Estimate *estimate = estimate_of (router, id);
-  GmTime lag = lag_now (estimate, now);
-  if (lacks == (age < lag))
+  Estimate *e = estimate_of (router, id);
+  if (!lacks && age <= e->lag)
+    e->lag = 0;
+  if (!lacks || now < e->retry_at)
     return;
-  estimate->lag = age;
-  estimate->lag_at = now;
+  e->retry = e->lag == 0 ? LAG_RETRY : MIN (2 * e->retry, LAG_RETRY_MAX);
+  e->lag = MAX (age, 1);
+  e->retry_at = now + e->retry;
+}
+
+/* Whether a read that may show a state AGE old is worth a try there.  One
+   try at a time is made of a replica that is believed to lag.  */
+static gboolean
+has_probably (const Estimate *e, GmTime now, GmTime age)
+{
+  return e == NULL || e->lag == 0 || age > e->lag || now >= e->retry_at;
 }
 
 gboolean
@@ -228,8 +234,7 @@
       const Estimate *estimate = g_hash_table_lookup (router->estimates, id);
       if (d == NULL || g_strcmp0 (id, except) == 0
           || (d->leaving && d != primary)
-          || (d != primary && estimate != NULL
-              && lag_now (estimate, now) > age))
+          || (d != primary && !has_probably (estimate, now, age)))
         continue;
       GmTime time = expected_time (router, now, d, d == primary);
       if (time < best_time)
--- a/lib/session/router.h
+++ b/lib/session/router.h
@@ -30,8 +30,8 @@
                    GmTime at);
 /* The database ID would let a further statement wait for WAIT.  */
 void sr_note_wait (SrRouter *router, GmTime now, const char *id, GmTime wait);
-/* The replica ID had a position, or lacked one, that the group's primary had
-   reached AGE ago.  */
+/* The replica ID answered a read that needed a position which the group's
+   primary had AGE ago: it has it, or LACKS it.  */
 void sr_note_lag (SrRouter *router, GmTime now, const char *id, gboolean lacks,
                   GmTime age);
 
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -33,6 +33,7 @@
   char *host; /* that holds its pool */
   char *address;
   char *except; /* a replica that could not serve it, or NULL */
+  gboolean to_primary; /* a replica lacked the position */
 } Call;
 
 struct SnSession
@@ -304,6 +305,8 @@
     return sr_primary (world->router, world->state, s->group);
   if (opens)
     call->begins = DP_BEGIN_READ;
+  if (call->to_primary)
+    return sr_primary (world->router, world->state, s->group);
   return sr_reader (world->router, world->state, world->now, s->group,
                     world->now - call->after_at, call->except);
 }
@@ -646,6 +649,7 @@
                                || kind == GM_QUEUE_FULL);
       g_free (call->except);
       call->except = g_strdup (call->database);
+      call->to_primary = call->to_primary || kind == GM_LAGGING;
       gm_count (GM_M_statements_again_total, 1);
       if (elsewhere)
         forward (s, world, step);
