--- a/lib/wire/link.c
+++ b/lib/wire/link.c
@@ -1,7 +1,7 @@
 #include "link.h"
 #include "base/bytes.h"
 #include "base/event.h"
-#include <gio/gio.h>
+#include "stream.h"
 #include <string.h>
 
 #define NONCE_BYTES 16
@@ -24,23 +24,18 @@
   const LkIdentity *self;
   const LkHandler *handler;
   void *owner;
-  GSocketConnection *connection;
-  GCancellable *cancellable;
+  StStream *stream; /* NULL once closed */
   guint timer;
   char *peer;
   guint64 incarnation;
   guint8 nonce[NONCE_BYTES];
   guint8 their_nonce[NONCE_BYTES];
-  guint8 length[WM_LENGTH_BYTES];
-  guint8 *frame;
-  guint32 frame_length;
-  GByteArray *waiting;
-  GByteArray *sending;
+  GByteArray *received; /* bytes of frames that are not whole yet */
 };
 
 struct LkServer
 {
-  GSocketService *service;
+  StListener *listener;
   const LkIdentity *self;
   const LkHandler *handler;
   void *owner;
@@ -58,13 +53,8 @@
 {
   if (--link->refs > 0)
     return;
-  g_clear_object (&link->connection);
-  g_clear_object (&link->cancellable);
   g_free (link->peer);
-  g_free (link->frame);
-  g_byte_array_unref (link->waiting);
-  if (link->sending != NULL)
-    g_byte_array_unref (link->sending);
+  g_byte_array_unref (link->received);
   g_free (link);
 }
 
@@ -76,11 +66,9 @@
     return;
   link_ref (link);
   link->state = LINK_CLOSED;
-  g_cancellable_cancel (link->cancellable);
   g_clear_handle_id (&link->timer, g_source_remove);
-  if (link->connection != NULL)
-    g_io_stream_close_async (G_IO_STREAM (link->connection),
-                             G_PRIORITY_DEFAULT, NULL, NULL, NULL);
+  st_close (link->stream);
+  link->stream = NULL;
   if (!link->silent)
     link->handler->down (link, link->owner);
   if (!link->dialed || link->silent)
@@ -97,41 +85,13 @@
   link_close (link);
 }
 
-static void link_flush (LkLink *link);
-
-static void
-written (GObject *source, GAsyncResult *result, gpointer data)
-{
-  LkLink *link = data;
-  g_clear_pointer (&link->sending, g_byte_array_unref);
-  if (!g_output_stream_write_all_finish (G_OUTPUT_STREAM (source), result,
-                                         NULL, NULL))
-    link_close (link);
-  else if (link->state != LINK_CLOSED)
-    link_flush (link);
-  link_unref (link);
-}
-
-static void
-link_flush (LkLink *link)
-{
-  if (link->sending != NULL || link->waiting->len == 0)
-    return;
-  link->sending = link->waiting;
-  link->waiting = g_byte_array_new ();
-  GOutputStream *out
-      = g_io_stream_get_output_stream (G_IO_STREAM (link->connection));
-  g_output_stream_write_all_async (
-      out, link->sending->data, link->sending->len, G_PRIORITY_DEFAULT,
-      link->cancellable, written, link_ref (link));
-}
-
 static void
 link_queue (LkLink *link, const WmMessage *message)
 {
-  wm_append (link->waiting, message);
+  g_autoptr (GByteArray) frame = g_byte_array_new ();
+  wm_append (frame, message);
   gm_count (GM_M_frames_out_total, 1);
-  link_flush (link);
+  st_write (link->stream, frame->data, frame->len);
 }
 
 static gboolean
@@ -262,15 +222,13 @@
     link_garbage (link, "unexpected message before the link was up");
 }
 
-static void read_length (LkLink *link);
-
 static void
-take_frame (LkLink *link)
+take_frame (LkLink *link, const guint8 *frame, gsize length)
 {
   WmMessage message;
   GmStatus status;
   gm_count (GM_M_frames_in_total, 1);
-  if (wm_decode (link->frame, link->frame_length, &message, &status) != GM_OK)
+  if (wm_decode (frame, length, &message, &status) != GM_OK)
     {
       link_garbage (link, status.message);
       return;
@@ -282,75 +240,61 @@
   wm_clear (&message);
 }
 
+/* Takes the whole frames among the bytes received.  */
 static void
-got_frame (GObject *source, GAsyncResult *result, gpointer data)
+take_frames (LkLink *link)
 {
-  LkLink *link = data;
-  gsize count;
-  gboolean good = g_input_stream_read_all_finish (G_INPUT_STREAM (source),
-                                                  result, &count, NULL);
-  if (link->state != LINK_CLOSED)
+  GByteArray *in = link->received;
+  gsize at = 0;
+  while (link->state != LINK_CLOSED && in->len - at >= WM_LENGTH_BYTES)
     {
-      if (!good || count < link->frame_length)
-        link_close (link);
-      else
-        take_frame (link);
+      guint32 length;
+      memcpy (&length, in->data + at, WM_LENGTH_BYTES);
+      length = GUINT32_FROM_BE (length);
+      if (length == 0 || length > WM_FRAME_MAX)
+        {
+          link_garbage (link, "a frame's length is out of bounds");
+          return;
+        }
+      if (in->len - at - WM_LENGTH_BYTES < length)
+        break;
+      at += WM_LENGTH_BYTES + length;
+      take_frame (link, in->data + at - length, length);
     }
-  g_clear_pointer (&link->frame, g_free);
-  if (link->state != LINK_CLOSED)
-    read_length (link);
-  link_unref (link);
-}
-
-static GInputStream *
-link_input (LkLink *link)
-{
-  return g_io_stream_get_input_stream (G_IO_STREAM (link->connection));
+  if (at > 0)
+    g_byte_array_remove_range (in, 0, (guint)at);
 }
 
 static void
-read_frame (LkLink *link)
+on_data (StStream *stream, const char *data, gsize length, gpointer owner)
 {
-  guint32 length;
-  memcpy (&length, link->length, WM_LENGTH_BYTES);
-  length = GUINT32_FROM_BE (length);
-  if (length == 0 || length > WM_FRAME_MAX)
-    {
-      link_garbage (link, "a frame's length is out of bounds");
-      return;
-    }
-  link->frame = g_malloc (length);
-  link->frame_length = length;
-  g_input_stream_read_all_async (link_input (link), link->frame, length,
-                                 G_PRIORITY_DEFAULT, link->cancellable,
-                                 got_frame, link_ref (link));
+  (void)stream;
+  LkLink *link = link_ref (owner);
+  g_byte_array_append (link->received, (const guint8 *)data, (guint)length);
+  take_frames (link);
+  link_unref (link);
 }
 
 static void
-got_length (GObject *source, GAsyncResult *result, gpointer data)
+on_closed (StStream *stream, const char *why, gpointer owner)
 {
-  LkLink *link = data;
-  gsize count;
-  gboolean good = g_input_stream_read_all_finish (G_INPUT_STREAM (source),
-                                                  result, &count, NULL);
-  if (link->state != LINK_CLOSED)
-    {
-      if (!good || count < WM_LENGTH_BYTES)
-        link_close (link);
-      else
-        read_frame (link);
-    }
-  link_unref (link);
+  (void)stream;
+  (void)why;
+  LkLink *link = owner;
+  link->stream = NULL; /* frees itself */
+  link_close (link);
 }
 
 static void
-read_length (LkLink *link)
+on_connected (StStream *stream, gpointer owner)
 {
-  g_input_stream_read_all_async (
-      link_input (link), link->length, WM_LENGTH_BYTES, G_PRIORITY_DEFAULT,
-      link->cancellable, got_length, link_ref (link));
+  (void)stream;
+  ((LkLink *)owner)->state = LINK_SHAKING;
 }
 
+static const StHandler stream_handler
+    = { .connected = on_connected, .data = on_data, .closed = on_closed };
+
 static gboolean
 handshake_expired (gpointer data)
 {
@@ -368,70 +312,37 @@
   link->self = self;
   link->handler = handler;
   link->owner = owner;
-  link->cancellable = g_cancellable_new ();
-  link->waiting = g_byte_array_new ();
+  link->received = g_byte_array_new ();
   link->timer = g_timeout_add (LK_HANDSHAKE_MS, handshake_expired, link);
   fill_nonce (link->nonce);
   return link;
 }
 
 static void
-link_start (LkLink *link, GSocketConnection *connection)
+on_accept (GSocket *socket, gpointer owner)
 {
-  link->connection = g_object_ref (connection);
-  link->state = LINK_SHAKING;
-  g_tcp_connection_set_graceful_disconnect (G_TCP_CONNECTION (connection),
-                                            FALSE);
-  g_socket_set_option (g_socket_connection_get_socket (connection), 6, 1, 1,
-                       NULL); /* IPPROTO_TCP, TCP_NODELAY */
-  read_length (link);
-}
-
-static gboolean
-incoming (GSocketService *service, GSocketConnection *connection,
-          GObject *source, gpointer data)
-{
-  (void)service;
-  (void)source;
-  LkServer *server = data;
+  const LkServer *server = owner;
   LkLink *link = link_new (server->self, server->handler, server->owner);
-  link_start (link, connection);
+  link->state = LINK_SHAKING;
+  link->stream = st_accepted (socket, LK_SILENCE_MS, &stream_handler, link);
   g_autoptr (GBytes) nonce = g_bytes_new (link->nonce, NONCE_BYTES);
   WmMessage challenge
       = { .type = WM_TYPE_CHALLENGE,
           .challenge = { .version = WM_VERSION, .nonce = nonce } };
   link_queue (link, &challenge);
-  return TRUE;
 }
 
 LkServer *
 lk_listen (CfAddress *address, const LkIdentity *self,
            const LkHandler *handler, void *owner, GmStatus *status)
 {
-  g_autoptr (GError) error = NULL;
-  g_autoptr (GSocketService) service = g_socket_service_new ();
-  g_autoptr (GSocketAddress) wanted
-      = g_inet_socket_address_new_from_string (address->ip, address->port);
-  g_autoptr (GSocketAddress) bound = NULL;
-  g_socket_listener_set_backlog (G_SOCKET_LISTENER (service), LK_BACKLOG);
-  if (!g_socket_listener_add_address (
-          G_SOCKET_LISTENER (service), wanted, G_SOCKET_TYPE_STREAM,
-          G_SOCKET_PROTOCOL_TCP, NULL, &bound, &error))
-    {
-      gm_fail (status, GM_IO, "%s:%u: %s", address->ip, address->port,
-               error->message);
-      return NULL;
-    }
-  address->port
-      = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
   LkServer *server = g_new0 (LkServer, 1);
-  server->service = g_steal_pointer (&service);
   server->self = self;
   server->handler = handler;
   server->owner = owner;
-  g_signal_connect (server->service, "incoming", G_CALLBACK (incoming),
-                    server);
-  g_socket_service_start (server->service);
+  server->listener = st_listen (address, on_accept, server, status);
+  if (server->listener == NULL)
+    g_clear_pointer (&server, g_free);
   return server;
 }
 
@@ -440,49 +351,24 @@
 {
   if (server == NULL)
     return;
-  g_socket_service_stop (server->service);
-  g_socket_listener_close (G_SOCKET_LISTENER (server->service));
-  g_signal_handlers_disconnect_by_data (server->service, server);
-  g_object_unref (server->service);
+  st_listener_free (server->listener);
   g_free (server);
 }
 
-static void
-connected (GObject *source, GAsyncResult *result, gpointer data)
-{
-  LkLink *link = data;
-  g_autoptr (GSocketConnection) connection = g_socket_client_connect_finish (
-      G_SOCKET_CLIENT (source), result, NULL);
-  if (link->state != LINK_CLOSED)
-    {
-      if (connection == NULL)
-        link_close (link);
-      else
-        link_start (link, connection);
-    }
-  link_unref (link);
-}
-
 LkLink *
 lk_dial (const CfAddress *address, const LkIdentity *self,
          const LkHandler *handler, void *owner)
 {
   LkLink *link = link_new (self, handler, owner);
   link->dialed = TRUE;
-  g_autoptr (GSocketClient) client = g_socket_client_new ();
-  g_socket_client_set_enable_proxy (client, FALSE);
-  g_autoptr (GSocketAddress) to
-      = g_inet_socket_address_new_from_string (address->ip, address->port);
-  g_socket_client_connect_async (client, G_SOCKET_CONNECTABLE (to),
-                                 link->cancellable, connected,
-                                 link_ref (link));
+  link->stream = st_connect (address, LK_SILENCE_MS, &stream_handler, link);
   return link;
 }
 
 gboolean
 lk_send (LkLink *link, const WmMessage *message)
 {
-  if (link->state != LINK_UP || link->waiting->len > LK_QUEUE_MAX)
+  if (link->state != LINK_UP || st_queued (link->stream) > LK_QUEUE_MAX)
     return FALSE;
   link_queue (link, message);
   return TRUE;
--- a/lib/wire/link.h
+++ b/lib/wire/link.h
@@ -14,7 +14,10 @@
 
 #define LK_QUEUE_MAX (16 * 1024 * 1024) /* bytes waiting to be sent */
 #define LK_HANDSHAKE_MS 2000
-#define LK_BACKLOG 1024 /* connections waiting to be accepted */
+#define LK_SILENCE_MS                                                         \
+  2000 /* a peer may leave bytes unacknowledged: longer                       \
+          than a lost packet takes to be sent again three                     \
+          times */
 
 typedef struct LkLink LkLink;
 typedef struct LkServer LkServer;
--- a/platform/stream.c
+++ b/lib/wire/stream.c
@@ -3,15 +3,15 @@
 #include <netinet/tcp.h>
 #include <string.h>
 
-#define BACKLOG 1024 /* callers of one host that reconnect at once */
+#define BACKLOG 1024 /* peers that connect at once */
 #define READ_BYTES 16384
 #define CONNECT_MS 1500 /* three times a handshake under full load */
 #define FINISH_MS 1000  /* for a peer to take the last bytes */
 
-struct PtStream
+struct StStream
 {
   GSocket *socket;
-  const PtStreamHandler *handler;
+  const StHandler *handler;
   gpointer owner;
   gboolean connecting;
   gboolean finishing;
@@ -22,11 +22,11 @@
   char *failure; /* told at the next turn of the main context */
 };
 
-struct PtListener
+struct StListener
 {
   GSocket *socket;
   GSource *source;
-  PtAccept accept;
+  StAccept accept;
   gpointer owner;
 };
 
@@ -41,7 +41,7 @@
 }
 
 void
-pt_stream_close (PtStream *stream)
+st_close (StStream *stream)
 {
   if (stream == NULL)
     return;
@@ -57,26 +57,26 @@
 }
 
 static void
-fail (PtStream *stream, const char *why)
+fail (StStream *stream, const char *why)
 {
-  const PtStreamHandler *handler = stream->handler;
+  const StHandler *handler = stream->handler;
   gpointer owner = stream->owner;
   if (stream->finishing)
     {
-      pt_stream_close (stream);
+      st_close (stream);
       return;
     }
   /* The owner may hold STREAM until it is told; it must not use it then.  */
   g_autofree char *text = g_strdup (why);
   handler->closed (stream, text, owner);
-  pt_stream_close (stream);
+  st_close (stream);
 }
 
 static gboolean
 on_readable (GSocket *socket, GIOCondition condition, gpointer data)
 {
   (void)condition;
-  PtStream *stream = data;
+  StStream *stream = data;
   char buffer[READ_BYTES];
   g_autoptr (GError) error = NULL;
   gssize got = g_socket_receive (socket, buffer, sizeof buffer, NULL, &error);
@@ -93,7 +93,7 @@
 }
 
 static void
-start_reading (PtStream *stream)
+start_reading (StStream *stream)
 {
   stream->reader = g_socket_create_source (stream->socket, G_IO_IN, NULL);
   g_source_set_callback (stream->reader, G_SOURCE_FUNC (on_readable), stream,
@@ -103,7 +103,7 @@
 
 /* Sends what waits.  FALSE when the connection has failed.  */
 static gboolean
-flush (PtStream *stream)
+flush (StStream *stream)
 {
   g_autoptr (GError) error = NULL;
   while (stream->waiting->len > 0)
@@ -124,7 +124,7 @@
 on_writable (GSocket *socket, GIOCondition condition, gpointer data)
 {
   (void)condition;
-  PtStream *stream = data;
+  StStream *stream = data;
   g_autoptr (GError) error = NULL;
   if (stream->connecting && !g_socket_check_connect_result (socket, &error))
     {
@@ -148,14 +148,14 @@
   if (stream->waiting->len > 0)
     return G_SOURCE_CONTINUE;
   if (stream->finishing)
-    pt_stream_close (stream);
+    st_close (stream);
   else
     drop_source (&stream->writer);
   return G_SOURCE_REMOVE;
 }
 
 static void
-start_writing (PtStream *stream)
+start_writing (StStream *stream)
 {
   if (stream->writer != NULL)
     return;
@@ -165,37 +165,41 @@
   g_source_attach (stream->writer, NULL);
 }
 
-gboolean
-pt_stream_write (PtStream *stream, const char *data, gsize length)
+void
+st_write (StStream *stream, const void *data, gsize length)
 {
-  if (stream->finishing || stream->waiting->len + length > PT_STREAM_QUEUE_MAX)
-    return FALSE;
+  if (stream->finishing)
+    return;
   gboolean idle = stream->waiting->len == 0 && !stream->connecting;
-  g_byte_array_append (stream->waiting, (const guint8 *)data, (guint)length);
-  /* A failure shows when the source runs: no call comes from within.  */
+  g_byte_array_append (stream->waiting, data, (guint)length);
   if (idle)
     flush (stream);
   if (stream->waiting->len > 0)
     start_writing (stream);
-  return TRUE;
+}
+
+gsize
+st_queued (const StStream *stream)
+{
+  return stream->waiting->len;
 }
 
 static gboolean
 finish_late (gpointer data)
 {
-  PtStream *stream = data;
+  StStream *stream = data;
   stream->timer = 0;
-  pt_stream_close (stream);
+  st_close (stream);
   return G_SOURCE_REMOVE;
 }
 
 void
-pt_stream_finish (PtStream *stream)
+st_finish (StStream *stream)
 {
   stream->finishing = TRUE;
   if (stream->waiting->len == 0)
     {
-      pt_stream_close (stream);
+      st_close (stream);
       return;
     }
   start_writing (stream);
@@ -203,10 +207,11 @@
   stream->timer = g_timeout_add (FINISH_MS, finish_late, stream);
 }
 
-static PtStream *
-stream_new (GSocket *socket, const PtStreamHandler *handler, gpointer owner)
+static StStream *
+stream_new (GSocket *socket, guint silence_ms, const StHandler *handler,
+            gpointer owner)
 {
-  PtStream *stream = g_new0 (PtStream, 1);
+  StStream *stream = g_new0 (StStream, 1);
   stream->socket = socket;
   stream->handler = handler;
   stream->owner = owner;
@@ -215,14 +220,17 @@
     return stream;
   g_socket_set_blocking (socket, FALSE);
   g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+  if (silence_ms > 0)
+    g_socket_set_option (socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                         (gint)silence_ms, NULL);
   return stream;
 }
 
-PtStream *
-pt_stream_accepted (GSocket *socket, const PtStreamHandler *handler,
-                    gpointer owner)
+StStream *
+st_accepted (GSocket *socket, guint silence_ms, const StHandler *handler,
+             gpointer owner)
 {
-  PtStream *stream = stream_new (socket, handler, owner);
+  StStream *stream = stream_new (socket, silence_ms, handler, owner);
   start_reading (stream);
   return stream;
 }
@@ -230,27 +238,24 @@
 static gboolean
 connect_late (gpointer data)
 {
-  PtStream *stream = data;
+  StStream *stream = data;
   stream->timer = 0;
   fail (stream,
         stream->failure != NULL ? stream->failure : "no connection in time");
   return G_SOURCE_REMOVE;
 }
 
-PtStream *
-pt_stream_connect (const CfAddress *address, guint silence_ms,
-                   const PtStreamHandler *handler, gpointer owner)
+StStream *
+st_connect (const CfAddress *address, guint silence_ms,
+            const StHandler *handler, gpointer owner)
 {
   g_autoptr (GError) error = NULL;
   g_autoptr (GSocketAddress) to
       = g_inet_socket_address_new_from_string (address->ip, address->port);
   GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
                                   G_SOCKET_PROTOCOL_TCP, &error);
-  PtStream *stream = stream_new (socket, handler, owner);
+  StStream *stream = stream_new (socket, silence_ms, handler, owner);
   stream->connecting = TRUE;
-  if (socket != NULL)
-    g_socket_set_option (socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
-                         (gint)silence_ms, NULL);
   gboolean started
       = socket != NULL
         && (g_socket_connect (socket, to, NULL, &error)
@@ -268,15 +273,15 @@
 on_acceptable (GSocket *socket, GIOCondition condition, gpointer data)
 {
   (void)condition;
-  PtListener *listener = data;
+  StListener *listener = data;
   GSocket *accepted = g_socket_accept (socket, NULL, NULL);
   if (accepted != NULL)
     listener->accept (accepted, listener->owner);
   return G_SOURCE_CONTINUE;
 }
 
-PtListener *
-pt_listen (CfAddress *address, PtAccept accept, gpointer owner,
+StListener *
+st_listen (CfAddress *address, StAccept accept, gpointer owner,
            GmStatus *status)
 {
   g_autoptr (GError) error = NULL;
@@ -298,7 +303,7 @@
   address->port
       = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
   g_socket_set_blocking (socket, FALSE);
-  PtListener *listener = g_new0 (PtListener, 1);
+  StListener *listener = g_new0 (StListener, 1);
   listener->socket = socket;
   listener->accept = accept;
   listener->owner = owner;
@@ -310,7 +315,7 @@
 }
 
 void
-pt_listener_free (PtListener *listener)
+st_listener_free (StListener *listener)
 {
   if (listener == NULL)
     return;
