--- a/daemon/control.c
+++ b/daemon/control.c
@@ -24,7 +24,8 @@
   Daemon *daemon;
   ClFileStore *files;
   CoCore *core;
-  GPtrArray *peers; /* Peer * */
+  Takeover *takeover; /* NULL: databases are replaced by their dispatchers */
+  GPtrArray *peers;   /* Peer * */
   guint timer;
 };
 
@@ -53,6 +54,8 @@
 pump (Control *c)
 {
   CoSend send;
+  if (c->takeover != NULL)
+    takeover_pump (c->takeover);
   while (co_take_send (c->core, &send))
     {
       const Peer *peer = send.link == 0 ? find_peer (c, send.to) : NULL;
@@ -372,6 +375,13 @@
   pump (c);
 }
 
+void
+control_take_over (Control *c, const TakeoverDriver *driver)
+{
+  co_set_takeover (c->core);
+  c->takeover = takeover_new (c->daemon, co_takeover (c->core), driver);
+}
+
 const CsState *
 control_state (const Control *c)
 {
@@ -441,6 +451,7 @@
   Control *c = (Control *)task;
   g_clear_handle_id (&c->timer, g_source_remove);
   g_ptr_array_unref (c->peers);
+  takeover_free (c->takeover);
   if (c->core != NULL)
     co_free (c->core);
   if (c->files != NULL)
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -32,7 +32,7 @@
 
 /* Starts the tasks of the settings' roles.  */
 static gboolean
-start_tasks (Daemon *daemon, gboolean bootstrap, PtSettings **edges,
+start_tasks (Daemon *daemon, gboolean bootstrap, Platform **platform,
              GmStatus *status)
 {
   const CfSettings *settings = daemon->settings;
@@ -55,9 +55,12 @@
         return FALSE;
     }
   subscription_new (daemon);
-  if (settings->platform != NULL
-      && !platform_start (daemon, control, edges, status))
-    return FALSE;
+  if (settings->platform != NULL)
+    {
+      *platform = platform_start (daemon, control, status);
+      if (*platform == NULL)
+        return FALSE;
+    }
   if (settings->entry && entry_new (daemon, status) == NULL)
     return FALSE;
   return settings->operator_.ip == NULL
@@ -81,9 +84,9 @@
                settings->log_file);
       return gm_kind_exit (GM_IO);
     }
-  PtSettings *edges = NULL;
+  Platform *platform = NULL;
   Daemon *daemon = daemon_new (settings, &status);
-  if (daemon == NULL || !start_tasks (daemon, bootstrap, &edges, &status))
+  if (daemon == NULL || !start_tasks (daemon, bootstrap, &platform, &status))
     {
       daemon_free (daemon);
       gm_log (GM_EV_LISTEN_FAILED, "%s", status.message);
@@ -98,7 +101,7 @@
   g_main_loop_run (daemon->loop);
   gm_log (GM_EV_STOPPED, "%s", settings->host);
   daemon_free (daemon);
-  pt_settings_free (edges);
+  platform_free (platform);
   gm_log_close ();
   return 0;
 }
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -1,8 +1,13 @@
 #include "pools.h"
+#include "failover/takeover.h"
 #include "pool/pool.h"
 #include "subscription.h"
 #include <string.h>
 
+/* A gap between two ticks by which this process stood still: six of them.  */
+#define STALL (60 * GM_MS)
+#define REPORT (500 * GM_MS)        /* half of the age at which it is old */
+#define REPORT_TROUBLE (50 * GM_MS) /* an eighth of the suspected silence */
 #define TICK_MS 10 /* a fifth of the shortest service time seen at a slot */
 
 typedef struct Pool Pool;
@@ -38,6 +43,9 @@
   Daemon *daemon;
   DbOpen open;
   GHashTable *pools; /* database id -> Pool */
+  GmTime ticked;
+  GmTime report_due;
+  GmTime reported;
   guint timer;
 };
 
@@ -336,6 +344,48 @@
     }
 }
 
+/* Appends what POOL sees; returns whether something is wrong.  */
+static gboolean
+append_seen (const Pool *pool, GmTime now, GByteArray *out)
+{
+  PlHealth health;
+  pl_health (pool->core, now, &health);
+  WmMessage seen = { .type = WM_TYPE_SEEN,
+                     .seen = { .id = pool->id,
+                               .reachable = health.reachable ? 1 : 0,
+                               .last_term = health.acked.term,
+                               .received = health.acked.position,
+                               .silent = health.silent,
+                               .stuck = health.stuck,
+                               .open = health.open } };
+  wm_append (out, &seen);
+  return !health.reachable || health.stuck * GM_MS >= (guint64)TO_STUCK;
+}
+
+/* Tells the control leader what this host's pools see of their databases.  */
+static void
+report (Pools *p, GmTime now)
+{
+  GByteArray *out = g_byte_array_new ();
+  gboolean trouble = FALSE;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, p->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    trouble = append_seen (value, now, out) || trouble;
+  g_autoptr (GBytes) list = g_byte_array_free_to_bytes (out);
+  WmMessage m
+      = { .type = WM_TYPE_REPORT,
+          .report = { .host = p->daemon->settings->host, .databases = list } };
+  if (trouble)
+    p->report_due = MIN (p->report_due, p->reported + REPORT_TROUBLE);
+  if (now < p->report_due || g_bytes_get_size (list) == 0)
+    return;
+  p->reported = now;
+  p->report_due = now + REPORT;
+  subscription_send (p->daemon->subscription, &m);
+}
+
 static gboolean
 tick (gpointer data)
 {
@@ -343,16 +393,22 @@
   GHashTableIter iter;
   gpointer value;
   guint64 queued = 0;
+  GmTime now = daemon_now (p->daemon);
+  GmTime span = p->ticked != 0 ? now - p->ticked : 0;
+  p->ticked = now;
   g_hash_table_iter_init (&iter, p->pools);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Pool *pool = value;
       PlCounts counts;
+      if (span >= STALL)
+        pl_stalled (pool->core, span);
       pl_tick (pool->core, now_of (pool));
       pump (pool);
       pl_counts (pool->core, &counts);
       queued += counts.queued;
     }
+  report (p, now);
   gm_gauge (GM_M_queue_length, queued);
   return G_SOURCE_CONTINUE;
 }
--- a/lib/base/mutant.h
+++ b/lib/base/mutant.h
@@ -35,6 +35,7 @@
   X (LOWER_WINS, "a lower number replaces a higher one")                      \
   X (VALUES_KEPT, "a connection keeps another session's values")              \
   X (LEAD_UNPROVED, "a read trusts a primary that may have been replaced")    \
+  X (TOKEN_SHARED, "a leader orders under its predecessor's token")           \
   X (OLD_SAMPLE, "a read's position may be older than its age bound")
 
 typedef enum
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -27,6 +27,7 @@
   CsState *state;
   MbCore *members;
   FoCore *failover;
+  ToCore *takeover;       /* NULL: failover decides */
   GPtrArray *subscribers; /* Subscriber * */
   GHashTable *proposals;  /* index -> Proposal */
   GQueue sends;           /* CoSend * */
@@ -97,6 +98,8 @@
   cs_free (core->state);
   mb_free (core->members);
   fo_free (core->failover);
+  if (core->takeover != NULL)
+    to_free (core->takeover);
   g_free (core->host);
   g_free (core);
 }
@@ -125,6 +128,18 @@
   return core->led;
 }
 
+void
+co_set_takeover (CoCore *core)
+{
+  core->takeover = to_new (core->host);
+}
+
+ToCore *
+co_takeover (const CoCore *core)
+{
+  return core->takeover;
+}
+
 void
 co_set_voters_min (CoCore *core, guint voters)
 {
@@ -314,6 +329,8 @@
   core->led = leads;
   gm_log (leads ? GM_EV_LEADER : GM_EV_NOT_LEADER, "term %u",
           (guint)cl_term (core->log));
+  if (core->takeover != NULL)
+    to_lead (core->takeover, now, leads ? cl_term (core->log) : 0);
   if (!leads)
     {
       drop_proposals (core);
@@ -377,6 +394,19 @@
   wm_clear (command);
 }
 
+static void
+take_over (CoCore *core, GmTime now, guint64 wall)
+{
+  WmMessage command;
+  to_tick (core->takeover, now, wall, core->state);
+  while (to_take_command (core->takeover, &command))
+    {
+      if (command.type == WM_TYPE_CMD_TERM)
+        gm_count (GM_M_failovers_total, 1);
+      propose_own (core, now, &command);
+    }
+}
+
 static void
 decide (CoCore *core, GmTime now, guint64 wall)
 {
@@ -386,7 +416,10 @@
       core->expire_at = now + CO_EXPIRE;
       mb_tick (core->members, now, core->state);
     }
-  fo_tick (core->failover, now, wall, core->state);
+  if (core->takeover != NULL)
+    take_over (core, now, wall);
+  else
+    fo_tick (core->failover, now, wall, core->state);
   while (mb_take_command (core->members, &command))
     propose_own (core, now, &command);
   while (fo_take_command (core->failover, &command))
@@ -523,6 +556,21 @@
     co_forward (core, m);
 }
 
+/* What the holder of pools sees of its databases.  */
+static void
+take_pool_report (CoCore *core, GmTime now, const struct wm_report *report)
+{
+  WmMessage m;
+  gsize at = 0;
+  while (wm_next (report->databases, &at, &m))
+    {
+      if (m.type == WM_TYPE_SEEN && m.seen.reachable != 0)
+        mb_database_serves (core->members, now, m.seen.id);
+      wm_clear (&m);
+    }
+  to_report (core->takeover, now, core->state, report);
+}
+
 void
 co_receive (CoCore *core, GmTime now, guint64 link, const char *from,
             const WmMessage *m)
@@ -546,6 +594,8 @@
         mb_database (core->members, now, core->state, &m->cmd_database);
       else
         co_forward (core, m);
+      if (core->led && core->takeover != NULL)
+        to_announced (core->takeover, now, &m->cmd_database);
       break;
     case WM_TYPE_CMD_DATABASE_DOWN:
       if (core->led)
@@ -557,7 +607,9 @@
         co_forward (core, m);
       break;
     case WM_TYPE_REPORT:
-      if (core->led)
+      if (core->led && core->takeover != NULL)
+        take_pool_report (core, now, &m->report);
+      else if (core->led)
         fo_report (core->failover, now, core->state, &m->report);
       else
         co_forward (core, m);
--- a/lib/control/control.h
+++ b/lib/control/control.h
@@ -10,6 +10,7 @@
 #include "cstate/cstate.h"
 #include "failover/failover.h"
 #include "failover/members.h"
+#include "failover/takeover.h"
 
 #define CO_EXPIRE (100 * GM_MS) /* between two looks for the silent */
 
@@ -45,6 +46,11 @@
 gboolean co_leads (const CoCore *core);
 /* Refuses operators' proposals until VOTERS control hosts hold the log.  */
 void co_set_voters_min (CoCore *core, guint voters);
+/* Primaries are replaced by order of the platform, as takeover.h says, and not
+   by the databases themselves.  */
+void co_set_takeover (CoCore *core);
+/* The core of that, for its actions and their ends; or NULL.  */
+ToCore *co_takeover (const CoCore *core);
 /* Whether STATE as this host holds it was the newest at or after SINCE.  */
 gboolean co_is_current (CoCore *core, GmTime now, GmTime since);
 
--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -28,6 +28,7 @@
   g_free (group->group);
   g_free (group->primary);
   g_free (group->avoid);
+  g_free (group->holder);
   g_free (group);
 }
 
@@ -185,6 +186,7 @@
       group->group = g_strdup (declared->name);
       group->primary = g_strdup ("");
       group->avoid = g_strdup ("");
+      group->holder = g_strdup ("");
       g_hash_table_insert (state->groups, group->group, group);
     }
 }
@@ -283,6 +285,8 @@
   group->term = c->term;
   g_free (group->primary);
   group->primary = g_strdup (c->id);
+  group->decided = state->version;
+  group->settled = TRUE;
 }
 
 static GmKind
@@ -327,8 +331,13 @@
   if (group == NULL || c->term <= group->term)
     return gm_fail (outcome, GM_CONFLICT, "%s has moved on", c->group);
   group->term = c->term;
-  g_free (group->avoid);
-  group->avoid = group->primary;
+  /* A choice that never led was not the primary.  */
+  if (*group->primary != '\0')
+    {
+      g_free (group->avoid);
+      group->avoid = g_strdup (group->primary);
+    }
+  g_free (group->primary);
   group->primary = g_strdup ("");
   g_autofree char *what
       = g_strdup_printf ("term of %s: %s", c->group, c->reason);
@@ -343,10 +352,19 @@
                GmStatus *outcome)
 {
   CsGroup *group = g_hash_table_lookup (state->groups, c->group);
-  if (group == NULL || c->term != group->term || *group->primary != '\0')
+  /* Another leader may choose the same one again, to order it itself.  */
+  gboolean again = group != NULL && !group->settled && c->round > group->round
+                   && strcmp (group->primary, c->id) == 0;
+  if (group == NULL || c->term != group->term
+      || (*group->primary != '\0' && !again))
     return gm_fail (outcome, GM_CONFLICT, "%s has moved on", c->group);
   g_free (group->primary);
+  g_free (group->holder);
   group->primary = g_strdup (c->id);
+  group->holder = g_strdup (c->holder != NULL ? c->holder : "");
+  group->round = c->round;
+  group->decided = state->version;
+  group->settled = FALSE;
   g_autofree char *what
       = g_strdup_printf ("primary of %s: %s", c->group, c->id);
   CsAudit audit = { state->version, c->when, (char *)"control", what, c->term,
@@ -355,6 +373,17 @@
   return gm_ok (outcome);
 }
 
+static GmKind
+apply_promoted (CsState *state, const struct wm_cmd_promoted *c,
+                GmStatus *outcome)
+{
+  CsGroup *group = g_hash_table_lookup (state->groups, c->group);
+  if (group == NULL || group->decided != c->token)
+    return gm_fail (outcome, GM_CONFLICT, "%s has moved on", c->group);
+  group->settled = TRUE;
+  return gm_ok (outcome);
+}
+
 GmKind
 cs_apply (CsState *state, guint64 version, const WmMessage *command,
           GmStatus *outcome)
@@ -377,6 +406,8 @@
       return apply_term (state, &command->cmd_term, outcome);
     case WM_TYPE_CMD_PRIMARY:
       return apply_primary (state, &command->cmd_primary, outcome);
+    case WM_TYPE_CMD_PROMOTED:
+      return apply_promoted (state, &command->cmd_promoted, outcome);
     default:
       return gm_fail (outcome, GM_INVALID, "%s is not a command",
                       wm_type_name (command->type));
@@ -452,7 +483,11 @@
                       .rec_group = { .group = g->group,
                                      .term = g->term,
                                      .primary = g->primary,
-                                     .avoid = g->avoid } };
+                                     .avoid = g->avoid,
+                                     .decided = g->decided,
+                                     .holder = g->holder,
+                                     .round = g->round,
+                                     .settled = g->settled ? 1 : 0 } };
       wm_append (out, &m);
     }
 }
@@ -510,6 +545,10 @@
   group->term = r->term;
   group->primary = g_strdup (r->primary);
   group->avoid = g_strdup (r->avoid);
+  group->decided = r->decided;
+  group->holder = g_strdup (r->holder);
+  group->round = r->round;
+  group->settled = r->settled != 0;
   g_hash_table_replace (state->groups, group->group, group);
 }
 
--- a/lib/cstate/cstate.h
+++ b/lib/cstate/cstate.h
@@ -49,6 +49,10 @@
   guint64 term;
   char *primary;
   char *avoid;
+  guint64 decided;  /* version that chose the primary */
+  char *holder;     /* control host that chose it, "" for none */
+  guint64 round;    /* that host's control term */
+  gboolean settled; /* the primary is known to lead */
 } CsGroup;
 
 typedef struct
--- a/lib/dbapi/dbapi.h
+++ b/lib/dbapi/dbapi.h
@@ -19,6 +19,7 @@
   DB_SEAL,    /* take nothing more from terms before term */
   DB_PROMOTE, /* become primary of term */
   DB_FOLLOW,  /* replicate from the primary of term */
+  DB_UNSEAL,  /* receive again after DB_SEAL */
   DB_PLAIN,   /* the statement alone */
   DB_EXCHANGE /* as exchange says */
 } DbCallType;
--- a/lib/dbapi/postgres.c
+++ b/lib/dbapi/postgres.c
@@ -397,7 +397,8 @@
       send_term_call (c, call, SQL_FOLLOW, 3);
       break;
     case DB_EXCHANGE:
-      /* A pool is given a driver whose databases vouch for themselves.  */
+    case DB_UNSEAL:
+      /* These are for drivers whose databases replicate by themselves.  */
       g_assert_not_reached ();
     }
 }
--- a/lib/failover/failover.h
+++ b/lib/failover/failover.h
@@ -47,6 +47,7 @@
   guint64 received;
   guint64 applied;
   char following[64];
+  guint64 held; /* it receives nothing from terms before; 0: not sealed */
 } FoDatabase;
 
 typedef enum
@@ -54,7 +55,8 @@
   FO_CALL_STATUS,
   FO_CALL_SEAL,
   FO_CALL_PROMOTE,
-  FO_CALL_FOLLOW
+  FO_CALL_FOLLOW,
+  FO_CALL_UNSEAL
 } FoCall;
 
 /* The call that a dispatcher owes the database ID, given what the control
--- a/lib/failover/members.c
+++ b/lib/failover/members.c
@@ -164,6 +164,14 @@
   wm_queue_put (&core->commands, &command);
 }
 
+void
+mb_database_serves (MbCore *core, GmTime now, const char *id)
+{
+  Hearing *hearing = g_hash_table_lookup (core->databases, id);
+  if (hearing != NULL)
+    hearing->heard = now;
+}
+
 static void
 expire_hosts (MbCore *core, GmTime now, const CsState *state)
 {
--- a/lib/failover/members.h
+++ b/lib/failover/members.h
@@ -29,6 +29,8 @@
 /* Takes a database's announcement.  */
 void mb_database (MbCore *core, GmTime now, const CsState *state,
                   const struct wm_cmd_database *announced);
+/* The database ID is known to serve, though it announced nothing.  */
+void mb_database_serves (MbCore *core, GmTime now, const char *id);
 /* Expires the silent.  */
 void mb_tick (MbCore *core, GmTime now, const CsState *state);
 /* Takes the next command to propose; the caller clears it.  FALSE when there
--- a/lib/pool/core.h
+++ b/lib/pool/core.h
@@ -50,6 +50,8 @@
   GmTime trip;       /* least round trip seen */
   GmTime service;    /* mean service time */
   GHashTable *costs; /* service -> GmTime, mean time in a slot */
+  GmTime heard;      /* when the database last answered anything */
+  TkPoint acked;
   gboolean lead_known;
   TkPoint lead;
   GmTime lead_at;
--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -1,4 +1,5 @@
 #include "core.h"
+#include "failover/takeover.h"
 #include "base/mutant.h"
 #include <string.h>
 
@@ -109,6 +110,8 @@
            GmTime idle)
 {
   core->slots = MAX (slots, 1);
+  if (core->heard == 0)
+    core->heard = now;
   core->budget = MAX (connections * BUDGET_PERCENT / 100, BUDGET_MIN);
   core->idle = idle;
   pl_keep_warm (core, now);
@@ -386,6 +389,18 @@
   return core->lead_known;
 }
 
+static void
+note_answer (PlCore *core, GmTime now, const PlRequest *request,
+             const DpOutcome *outcome)
+{
+  gboolean wrote
+      = request->operation == PL_WRITE || request->operation == PL_COMMIT;
+  core->heard = now;
+  if (outcome->kind == GM_OK && wrote
+      && tk_point_compare (outcome->point, core->acked) > 0)
+    core->acked = outcome->point;
+}
+
 /* Ties or unties CONN's transaction as the database said.  */
 static void
 settle_transaction (PlCore *core, GmTime now, PlConn *conn, PlRequest *request,
@@ -420,6 +435,7 @@
   if (outcome->kind == GM_OK && request->operation != PL_LEAD)
     learn_times (core, now, request);
   note_lead (core, request, outcome);
+  note_answer (core, now, request, outcome);
   settle_transaction (core, now, conn, request, outcome);
   request->base.connection = NULL;
   request->point = outcome->point;
@@ -506,6 +522,7 @@
   if (core->owned == owned)
     return;
   core->owned = owned;
+  core->heard = now;
   DpRequest *queued;
   while (!owned && (queued = dq_take_any (core->queue)) != NULL)
     answer (core, (PlRequest *)queued, GM_DRAINING,
@@ -524,6 +541,37 @@
     lose_request (core, now, l->data);
 }
 
+void
+pl_stalled (PlCore *core, GmTime span)
+{
+  core->heard += span;
+  for (guint i = 0; i < core->running->len; i++)
+    ((PlRequest *)g_ptr_array_index (core->running, i))->base.started += span;
+}
+
+void
+pl_health (const PlCore *core, GmTime now, PlHealth *health)
+{
+  GmTime waits = G_MAXINT64, writes = now;
+  for (guint i = 0; i < core->running->len; i++)
+    {
+      const PlRequest *r = g_ptr_array_index (core->running, i);
+      waits = MIN (waits, r->base.started);
+      if (r->operation == PL_WRITE || r->operation == PL_COMMIT)
+        writes = MIN (writes, r->base.started);
+    }
+  guint up = g_hash_table_size (core->conns) - core->opening;
+  /* Without a connection the database has been asked since it was heard. */
+  if (up == 0)
+    waits = core->heard;
+  GmTime silent = waits == G_MAXINT64 ? 0 : now - MAX (waits, core->heard);
+  health->reachable = up > 0 && silent < TO_SILENT;
+  health->silent = (guint64)(MAX (silent, 0) / GM_MS);
+  health->stuck = (guint64)((now - writes) / GM_MS);
+  health->open = core->running->len + g_hash_table_size (core->transactions);
+  health->acked = core->acked;
+}
+
 void
 pl_counts (const PlCore *core, PlCounts *counts)
 {
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -121,6 +121,8 @@
 /* The request on CONNECTION ended.  */
 void pl_done (PlCore *core, GmTime now, guint64 connection,
               const DpOutcome *outcome);
+/* This process stood still for SPAN: the database is not to blame.  */
+void pl_stalled (PlCore *core, GmTime span);
 /* Gives the pool up and loses all its connections: the database is another
    one now.  */
 void pl_drop_connections (PlCore *core, GmTime now);
@@ -136,4 +138,17 @@
 gboolean pl_lead (const PlCore *core, TkPoint *point, GmTime *at);
 /* Time that a further statement of RANK would wait for a slot.  */
 GmTime pl_wait (const PlCore *core, CfRank rank, const char *service);
+/* What the pool sees of its database: how long it has left everything
+   unanswered, and how long its oldest write runs, in milliseconds; whether a
+   connection is up; the highest position that a write was answered with.  */
+typedef struct
+{
+  gboolean reachable;
+  guint64 silent;
+  guint64 stuck;
+  guint open;
+  TkPoint acked;
+} PlHealth;
+
+void pl_health (const PlCore *core, GmTime now, PlHealth *health);
 void pl_counts (const PlCore *core, PlCounts *counts);
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -32,7 +32,7 @@
   char *database;
   char *host; /* that holds its pool */
   char *address;
-  char *except; /* a replica that could not serve it, or NULL */
+  char *except;        /* a replica that could not serve it, or NULL */
   gboolean to_primary; /* a replica lacked the position */
 } Call;
 
@@ -324,7 +324,13 @@
        const char *message)
 {
   GmTime at = world->now + SN_RETRY;
-  if (s->call.attempts >= SN_ATTEMPTS_MAX || at >= s->call.deadline)
+  gboolean over = s->call.attempts >= SN_ATTEMPTS_MAX;
+  if (kind == GM_READ_ONLY || kind == GM_UNAVAILABLE)
+    {
+      at = world->now + SN_HOLD_RETRY;
+      over = at >= s->call.arrived + SN_HOLD;
+    }
+  if (over || at >= s->call.deadline)
     {
       step->retry_ms = (guint64)(SN_RETRY / GM_MS);
       answer (s, step, kind, message);
@@ -613,8 +619,7 @@
 may_try_again (const SnSession *s, GmKind kind)
 {
   const Call *call = &s->call;
-  if (s->transaction != 0 || gm_kind_ran (kind) != GM_RAN_NO
-      || call->attempts >= SN_ATTEMPTS_MAX)
+  if (s->transaction != 0 || gm_kind_ran (kind) != GM_RAN_NO)
     return FALSE;
   switch (kind)
     {
--- a/lib/session/session.h
+++ b/lib/session/session.h
@@ -15,6 +15,10 @@
 #define SN_VALUES_BYTES_MAX 16384
 #define SN_PREPARED_MAX 512
 #define SN_ATTEMPTS_MAX 6 /* DP_ATTEMPTS_MAX and one more for each replica */
+/* A statement waits so long for a primary to take over, from its arrival: less
+   than half of the shortest time that a caller has.  */
+#define SN_HOLD (250 * GM_MS)
+#define SN_HOLD_RETRY (25 * GM_MS)
 #define SN_RETRY (15 * GM_MS) /* a control decision takes about as long */
 /* For the pool's own answer at the deadline.  */
 #define SN_ANSWER_GRACE (300 * GM_MS)
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -121,11 +121,14 @@
 #define WM_CMD_TERM(U, S, B) \
   S (group) U (term) S (reason) U (when)
 #define WM_CMD_PRIMARY(U, S, B) \
-  S (group) U (term) S (id) U (when)
+  S (group) U (term) S (id) U (when) S (holder) U (round)
+#define WM_CMD_PROMOTED(U, S, B) \
+  S (group) U (token)
 
 /* Records of snapshots and of the log on disk.  */
 #define WM_REC_GROUP(U, S, B) \
-  S (group) U (term) S (primary) S (avoid)
+  S (group) U (term) S (primary) S (avoid) U (decided) S (holder) \
+  U (round) U (settled)
 #define WM_REC_AUDIT(U, S, B) \
   U (version) U (when) S (who) S (what) U (number) S (digest) U (kind)
 #define WM_REC_HISTORY(U, S, B) \
@@ -173,6 +176,7 @@
   M (CMD_DATABASE_DOWN, cmd_database_down)                                    \
   M (CMD_TERM, cmd_term)                                                      \
   M (CMD_PRIMARY, cmd_primary)                                                \
+  M (CMD_PROMOTED, cmd_promoted)                                              \
   M (REC_GROUP, rec_group)                                                    \
   M (REC_AUDIT, rec_audit)                                                    \
   M (REC_HISTORY, rec_history)                                                \
