--- a/daemon/takeover.c
+++ b/daemon/takeover.c
@@ -11,7 +11,6 @@
 {
   Takeover *takeover;
   char *id;
-  char *group;
   char *address;
   DbConn *conn;
   gboolean ready;
@@ -45,7 +44,6 @@
   if (line->conn != NULL)
     db_close (line->conn);
   g_free (line->id);
-  g_free (line->group);
   g_free (line->address);
   g_free (line);
 }
@@ -79,14 +77,14 @@
 }
 
 static void
-end_call (Line *line, const FoDatabase *status)
+end_call (Line *line, gboolean answered, const FoDatabase *status)
 {
   Takeover *t = line->takeover;
   if (!line->calling)
     return;
   line->calling = FALSE;
   line->used = now_of (t);
-  to_called (t->core, now_of (t), line->group, line->id, status);
+  to_called (t->core, now_of (t), line->id, answered, status);
 }
 
 static void
@@ -94,7 +92,7 @@
 {
   (void)conn;
   gboolean good = outcome->kind == GM_OK && outcome->has_after;
-  end_call (owner, good ? &outcome->after : NULL);
+  end_call (owner, TRUE, good ? &outcome->after : NULL);
 }
 
 static void
@@ -106,7 +104,7 @@
   gm_log (GM_EV_CONNECTION_LOST, "%s, for a change of primary: %s", line->id,
           message);
   line->conn = NULL;
-  end_call (line, NULL);
+  end_call (line, FALSE, NULL);
   g_hash_table_remove (t->lines, line->id);
 }
 
@@ -126,7 +124,6 @@
   line = g_new0 (Line, 1);
   line->takeover = t;
   line->id = g_strdup (action->id);
-  line->group = g_strdup (action->group);
   line->address = g_strdup (action->address);
   g_hash_table_replace (t->lines, line->id, line);
   line->conn = t->driver.open (&target, &line_handler, line);
@@ -140,7 +137,7 @@
   Line *line = line_to (t, action);
   if (line == NULL || line->calling)
     {
-      to_called (t->core, now_of (t), action->group, action->id, NULL);
+      to_called (t->core, now_of (t), action->id, FALSE, NULL);
       return;
     }
   line->calling = TRUE;
@@ -194,7 +191,7 @@
   GmTime now = now_of (data);
   if (line->calling && now >= line->started + TO_CALL_TIME)
     {
-      end_call (line, NULL);
+      end_call (line, FALSE, NULL);
       return TRUE;
     }
   return !line->calling && now >= line->used + IDLE;
--- a/lib/control/subscriber.h
+++ b/lib/control/subscriber.h
@@ -12,9 +12,8 @@
 #pragma once
 #include "cstate/cstate.h"
 
-#define SB_STAMP_STALE                                                        \
-  (1500 * GM_MS) /* then another control host is tried                        \
-                  */
+/* Then another control host is tried: four heartbeats without a stamp.  */
+#define SB_STAMP_STALE (800 * GM_MS)
 #define SB_BEAT (200 * GM_MS)
 #define SB_REDIAL (100 * GM_MS)
 
--- a/lib/failover/takeover.c
+++ b/lib/failover/takeover.c
@@ -14,12 +14,13 @@
   guint64 open;
   guint64 acked_term; /* the highest position that its pool knows of */
   guint64 acked_number;
-  /* Under the term that is being sealed.  */
-  guint64 asked_term;
+  /* The leader's own calls.  */
   GmTime asked;
   GmTime ask_at;
   gboolean calling;
-  gboolean known; /* status is of asked_term */
+  GmTime answered; /* the last call that it answered; 0: none */
+  GmTime failed;   /* the last call that it did not answer; 0: none */
+  gboolean known;  /* status is set */
   FoDatabase status;
 } Seen;
 
@@ -34,6 +35,7 @@
   GmTime order_sent;
   GmTime order_at;
   guint64 unsealed_term; /* replicas were told to receive again */
+  GmTime settled_at;     /* when the last promotion was done; 0: before */
 } Group;
 
 struct ToCore
@@ -130,6 +132,7 @@
     {
       group = g_new0 (Group, 1);
       group->name = g_strdup (name);
+      group->settled_at = G_MININT64 / 2;
       group->proposed = G_MININT64 / 2;
       g_hash_table_insert (core->groups, group->name, group);
     }
@@ -198,13 +201,16 @@
 }
 
 void
-to_called (ToCore *core, GmTime now, const char *group, const char *id,
+to_called (ToCore *core, GmTime now, const char *id, gboolean answered,
            const FoDatabase *status)
 {
-  (void)group;
   Seen *seen = seen_of (core, id);
   seen->calling = FALSE;
   seen->ask_at = now + TO_CALL_RETRY;
+  if (answered)
+    seen->answered = now;
+  else
+    seen->failed = now;
   if (status == NULL)
     return;
   seen->status = *status;
@@ -229,6 +235,7 @@
           .cmd_promoted = { .group = group->name, .token = token } };
   wm_queue_put (&core->commands, &command);
   group->order_at = now + TO_ORDER_TIME;
+  group->settled_at = now;
 }
 
 static ToAction *
@@ -274,23 +281,78 @@
   return TRUE;
 }
 
-/* Why the primary of GROUP has to be replaced, or NULL.  */
+/* Databases of NAME other than EXCEPT, in the order of their ids.  */
+static GPtrArray *
+databases_of (const CsState *state, const char *name, const char *except)
+{
+  GPtrArray *list = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, state->databases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CsDatabase *d = value;
+      if (strcmp (d->group, name) == 0 && g_strcmp0 (d->id, except) != 0)
+        g_ptr_array_add (list, value);
+    }
+  return list;
+}
+
+/* Whether the database of SEEN has just failed to answer the leader's own
+   call; asks it when it wasn't asked lately.  */
+static gboolean
+fails_to_answer (ToCore *core, GmTime now, const Group *own,
+                 const CsDatabase *database)
+{
+  Seen *seen = seen_of (core, database->id);
+  GmTime last = MAX (seen->answered, seen->failed);
+  if (last != 0 && now < last + 2 * TO_CALL_TIME)
+    return seen->failed > seen->answered;
+  if (may_call (seen, now))
+    call (core, now, own, database, FO_CALL_STATUS, 0);
+  return FALSE;
+}
+
+/* Whether the pools of all other databases of PRIMARY's group reach them: then
+   it is the primary that its replicas don't hear.  */
+static gboolean
+others_serve (ToCore *core, GmTime now, const CsState *state,
+              const CsDatabase *primary)
+{
+  g_autoptr (GPtrArray) others
+      = databases_of (state, primary->group, primary->id);
+  for (guint i = 0; i < others->len; i++)
+    {
+      const CsDatabase *d = g_ptr_array_index (others, i);
+      const Seen *seen = seen_of (core, d->id);
+      if (!seen->reachable || now >= seen->reported + TO_REPORT_OLD)
+        return FALSE;
+    }
+  return others->len + 1 >= cs_copies (state, primary->group);
+}
+
+/* Why PRIMARY has to be replaced, or NULL.  */
 static const char *
-suspicion (ToCore *core, GmTime now, const CsDatabase *primary)
+suspicion (ToCore *core, GmTime now, const CsState *state, const Group *own,
+           const CsDatabase *primary)
 {
   if (primary == NULL)
     return "the primary is gone";
   const Seen *seen = seen_of (core, primary->id);
   gboolean fresh = seen->reported != 0 && now < seen->reported + TO_REPORT_OLD;
+  gboolean grace = now < own->settled_at + TO_SETTLE_GRACE;
   if (primary->leaving)
     return "the primary is leaving";
-  if (fresh && seen->silent * GM_MS >= (guint64)TO_SILENT)
+  if (fresh && seen->silent * GM_MS >= (guint64)TO_SILENT
+      && fails_to_answer (core, now, own, primary))
     return "the primary does not answer";
-  if (fresh && seen->stuck * GM_MS >= (guint64)TO_STUCK)
+  if (fresh && !grace && seen->stuck * GM_MS >= (guint64)TO_STUCK
+      && others_serve (core, now, state, primary))
     return "the primary's writes are not confirmed";
   /* A primary that its pool reaches serves, whether or not the control hosts
      hear of it.  */
-  if (now >= seen->heard + TO_UNHEARD && !(fresh && seen->reachable))
+  if (now >= seen->heard + TO_UNHEARD && !(fresh && seen->reachable)
+      && fails_to_answer (core, now, own, primary))
     return "the primary is not heard of";
   return NULL;
 }
@@ -315,23 +377,6 @@
   return term + 1;
 }
 
-/* Databases of NAME other than EXCEPT, in the order of their ids.  */
-static GPtrArray *
-databases_of (const CsState *state, const char *name, const char *except)
-{
-  GPtrArray *list = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, state->databases);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const CsDatabase *d = value;
-      if (strcmp (d->group, name) == 0 && g_strcmp0 (d->id, except) != 0)
-        g_ptr_array_add (list, value);
-    }
-  return list;
-}
-
 static void
 order_term (ToCore *core, GmTime now, guint64 when, const CsState *state,
             const CsGroup *group, Group *own, const char *reason)
@@ -369,7 +414,7 @@
   const CsDatabase *primary
       = g_hash_table_lookup (state->databases, group->primary);
   unseal (core, now, state, group, own);
-  const char *reason = suspicion (core, now, primary);
+  const char *reason = suspicion (core, now, state, own, primary);
   if (reason == NULL)
     return;
   g_autoptr (GPtrArray) others
--- a/lib/failover/takeover.h
+++ b/lib/failover/takeover.h
@@ -12,6 +12,9 @@
    its present control term; what another one left undone is chosen anew, so
    that no two holders use the same token.
 
+   A primary that seems silent is asked by the leader itself before it is
+   replaced: one that answers, if only that it is busy, is alive.
+
    A replica that can't be sealed may hold an acknowledged write that the
    others lack.  It is waited for, and done without only when a sealed one
    holds everything that the pools saw acknowledged.
@@ -33,7 +36,10 @@
 #define TO_ORDER_TIME (1500 * GM_MS) /* the platform may be slow */
 #define TO_ORDER_RETRY (300 * GM_MS)
 #define TO_SEAL_PATIENCE (5 * GM_SECOND) /* for a replica that is away */
-#define TO_SPACING (1 * GM_SECOND)       /* between two terms of a group */
+/* After a promotion, for the new primary and its replicas to find each other.
+ */
+#define TO_SETTLE_GRACE (2 * GM_SECOND)
+#define TO_SPACING (1 * GM_SECOND) /* between two terms of a group */
 #define TO_PROPOSE_RETRY (300 * GM_MS)
 
 typedef struct ToCore ToCore;
@@ -75,8 +81,8 @@
 /* A database's heartbeat came.  */
 void to_announced (ToCore *core, GmTime now,
                    const struct wm_cmd_database *announced);
-/* A call ended; STATUS is NULL when it failed.  */
-void to_called (ToCore *core, GmTime now, const char *group, const char *id,
+/* A call ended: the database answered at all, and with STATUS, or NULL.  */
+void to_called (ToCore *core, GmTime now, const char *id, gboolean answered,
                 const FoDatabase *status);
 /* An order ended.  */
 void to_ordered (ToCore *core, GmTime now, const char *group, guint64 token,
