--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -171,33 +171,6 @@
   db_run (c->conn, &call);
 }
 
-static WmMessage
-done_message (const Pool *pool, const PlRequest *r)
-{
-  TkPoint lead;
-  GmTime lead_at;
-  gboolean leads = pl_lead (pool->core, &lead, &lead_at);
-  WmMessage m = { .type = WM_TYPE_STATEMENT_DONE };
-  m.statement_done = (struct wm_statement_done){
-    .sequence = r->sequence,
-    .kind = r->kind,
-    .message = (char *)r->message,
-    .retry_ms = r->retry_ms,
-    .holder = pool->pools->daemon->identity.incarnation,
-    .transaction = r->transaction,
-    .open = r->open ? 1 : 0,
-    .point_term = r->point.term,
-    .point_number = r->point.position,
-    .lead_term = leads ? lead.term : 0,
-    .lead_number = leads ? lead.position : 0,
-    .lead_age = leads ? (guint64)(now_of (pool) - lead_at) : 0,
-    .wait = (guint64)pl_wait (pool->core, r->base.rank, r->base.service),
-    .signature = r->signature,
-    .rows = r->rows,
-  };
-  return m;
-}
-
 /* Answers over the link that the request came by, if it is still up.  A
    transaction whose entry host has gone is given up.  */
 static void
@@ -205,7 +178,9 @@
 {
   LkLink *link
       = daemon_link (pool->pools->daemon, GPOINTER_TO_SIZE (r->owner));
-  WmMessage m = done_message (pool, r);
+  WmMessage m;
+  pl_request_done (pool->core, r, now_of (pool),
+                   pool->pools->daemon->identity.incarnation, &m);
   if (r->transaction != 0 && !r->open)
     g_hash_table_remove (pool->transactions, &r->transaction);
   else if (r->transaction != 0 && link != NULL)
@@ -449,34 +424,6 @@
   return gm_ok (status);
 }
 
-static char *
-given (const char *text)
-{
-  return *text != '\0' ? g_strdup (text) : NULL;
-}
-
-static PlRequest *
-read_request (const Pools *p, guint64 number, const struct wm_statement *m)
-{
-  const CsState *state = subscription_state (p->daemon->subscription);
-  GmTime left = (GmTime)MIN (m->deadline, DP_DEADLINE_MAX);
-  PlRequest *r
-      = pl_request_new (cf_service_find (state->declaration, m->service),
-                        daemon_now (p->daemon) + left);
-  r->owner = GSIZE_TO_POINTER (number);
-  r->sequence = m->sequence;
-  r->operation = (PlOperation)m->operation;
-  r->begins = (DpBegin)m->begins;
-  r->transaction = m->transaction;
-  r->after = (TkPoint){ m->after_term, m->after_number };
-  r->id = g_strdup (m->id);
-  r->text = given (m->text);
-  r->prepared = given (m->prepared);
-  r->arguments = given (m->arguments);
-  r->values = wm_strings_decode (m->values);
-  return r;
-}
-
 static gboolean
 pools_message (DaemonTask *task, guint64 number, LkLink *link,
                const WmMessage *message)
@@ -492,7 +439,11 @@
       refuse (link, m, status.kind, status.message);
       return TRUE;
     }
-  pl_submit (pool->core, now_of (pool), read_request (p, number, m));
+  const CsState *state = subscription_state (p->daemon->subscription);
+  PlRequest *request = pl_request_from (
+      m, cf_service_find (state->declaration, m->service), now_of (pool));
+  request->owner = GSIZE_TO_POINTER (number);
+  pl_submit (pool->core, now_of (pool), request);
   pump (pool);
   return TRUE;
 }
--- a/lib/clog/clog.h
+++ b/lib/clog/clog.h
@@ -18,6 +18,10 @@
 #define CL_HEARTBEAT (50 * GM_MS)
 #define CL_ELECTION_MIN (300 * GM_MS)
 #define CL_ELECTION_SPREAD (300 * GM_MS)
+/* A host that has heard no leader since it started need not wait for one to
+   fall silent: where one lives, its first vote is refused.  */
+#define CL_FIRST_ELECTION_MIN (100 * GM_MS)
+#define CL_FIRST_ELECTION_SPREAD (150 * GM_MS)
 #define CL_JOIN_INTERVAL (200 * GM_MS)
 #define CL_KEEP_ENTRIES 256 /* entries kept behind a snapshot */
 #define CL_BATCH_BYTES (1024 * 1024)
--- a/lib/clog/election.c
+++ b/lib/clog/election.c
@@ -5,9 +5,11 @@
 void
 cl_reset_election (ClCore *core, GmTime now)
 {
-  core->election_due
-      = now + CL_ELECTION_MIN
-        + (GmTime)gm_random_below (&core->random, CL_ELECTION_SPREAD);
+  gboolean first = core->heard == core->opened && core->role != CL_LEADER;
+  core->election_due = now + (first ? CL_FIRST_ELECTION_MIN : CL_ELECTION_MIN)
+                       + (GmTime)gm_random_below (
+                           &core->random, first ? CL_FIRST_ELECTION_SPREAD
+                                                : CL_ELECTION_SPREAD);
 }
 
 gboolean
--- a/lib/control/subscriber.c
+++ b/lib/control/subscriber.c
@@ -119,7 +119,8 @@
       core->link_stamp = now;
       return SB_DIAL;
     }
-  if (core->linked && now > core->link_stamp + SB_STAMP_STALE)
+  GmTime patience = core->up ? SB_STAMP_STALE : SB_DIAL_TIME;
+  if (core->linked && now > core->link_stamp + patience)
     {
       gm_log (GM_EV_CONTROL_STALE, "control host number %u", core->peer);
       sb_link_down (core, now);
--- a/lib/control/subscriber.h
+++ b/lib/control/subscriber.h
@@ -12,6 +12,9 @@
 #pragma once
 #include "cstate/cstate.h"
 
+/* A link that is not up by then is given up: a host without power does not
+   refuse it.  */
+#define SB_DIAL_TIME (250 * GM_MS)
 /* Then another control host is tried: four heartbeats without a stamp.  */
 #define SB_STAMP_STALE (800 * GM_MS)
 #define SB_BEAT (200 * GM_MS)
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -107,6 +107,13 @@
 
 /* An empty request of SERVICE; DEADLINE is absolute.  */
 PlRequest *pl_request_new (const CfService *service, GmTime deadline);
+/* The request that M asks for under the rules of SERVICE.  */
+PlRequest *pl_request_from (const struct wm_statement *m,
+                            const CfService *service, GmTime now);
+/* Makes DONE the answer to REQUEST, which ran in CORE under HOLDER; it borrows
+   from REQUEST.  */
+void pl_request_done (const PlCore *core, const PlRequest *request, GmTime now,
+                      guint64 holder, WmMessage *done);
 /* Frees REQUEST, which must not be in the pool.  */
 void pl_request_free (PlRequest *request);
 /* The name under which every session's statements of SHAPE are prepared; free
--- a/lib/pool/request.c
+++ b/lib/pool/request.c
@@ -37,3 +37,55 @@
   digest[20] = '\0';
   return g_strconcat ("g", digest, NULL);
 }
+
+static char *
+given (const char *text)
+{
+  return text != NULL && *text != '\0' ? g_strdup (text) : NULL;
+}
+
+PlRequest *
+pl_request_from (const struct wm_statement *m, const CfService *service,
+                 GmTime now)
+{
+  GmTime left = (GmTime)MIN (m->deadline, DP_DEADLINE_MAX);
+  PlRequest *r = pl_request_new (service, now + left);
+  r->sequence = m->sequence;
+  r->operation = (PlOperation)m->operation;
+  r->begins = (DpBegin)m->begins;
+  r->transaction = m->transaction;
+  r->after = (TkPoint){ m->after_term, m->after_number };
+  r->id = g_strdup (m->id);
+  r->text = given (m->text);
+  r->prepared = given (m->prepared);
+  r->arguments = given (m->arguments);
+  r->values = m->values != NULL ? wm_strings_decode (m->values) : NULL;
+  return r;
+}
+
+void
+pl_request_done (const PlCore *core, const PlRequest *r, GmTime now,
+                 guint64 holder, WmMessage *done)
+{
+  TkPoint lead;
+  GmTime lead_at;
+  gboolean leads = pl_lead (core, &lead, &lead_at);
+  *done = (WmMessage){ .type = WM_TYPE_STATEMENT_DONE };
+  done->statement_done = (struct wm_statement_done){
+    .sequence = r->sequence,
+    .kind = r->kind,
+    .message = (char *)r->message,
+    .retry_ms = r->retry_ms,
+    .holder = holder,
+    .transaction = r->transaction,
+    .open = r->open ? 1 : 0,
+    .point_term = r->point.term,
+    .point_number = r->point.position,
+    .lead_term = leads ? lead.term : 0,
+    .lead_number = leads ? lead.position : 0,
+    .lead_age = leads ? (guint64)(now - lead_at) : 0,
+    .wait = (guint64)pl_wait (core, r->base.rank, r->base.service),
+    .signature = r->signature,
+    .rows = r->rows,
+  };
+}
