--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,525 @@
+/* The platform's texts: lines, manifests, announcements.  */
+#include "platform/announcement.h"
+#include "platform/line.h"
+#include "platform/manifest.h"
+#include <string.h>
+
+#define GARBAGE_ROUNDS 20000
+
+/* Bytes as they come in chunks ("|" between them), and the lines read until
+   the first fault.  */
+static const struct
+{
+  const char *chunks;
+  const char *lines; /* "," between them */
+  GmKind end;
+  const char *says;
+} streams[] = {
+  { "BYE\r\n", "BYE", GM_OK, "" },
+  { "QUERY 1 REA|D 7\r|\nBYE\r\n", "QUERY 1 READ 7,BYE", GM_OK, "" },
+  { "A\r\nB\r\nC", "A,B", GM_OK, "" },
+  { "\r\n", "", GM_OK, "" },
+  { "A\r\nB\nC\r\n", "A", GM_INVALID, "CR LF" },
+  { "A\rB\r\n", "", GM_INVALID, "control character" },
+};
+
+static void
+feed (LnReader *reader, const char *chunks)
+{
+  g_auto (GStrv) parts = g_strsplit (chunks, "|", -1);
+  for (guint i = 0; parts[i] != NULL; i++)
+    ln_feed (reader, parts[i], strlen (parts[i]));
+}
+
+static void
+test_streams (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (streams); i++)
+    {
+      LnReader *reader = ln_reader_new ();
+      g_autoptr (GString) seen = g_string_new (NULL);
+      GmStatus status = { GM_OK, "" };
+      char *line;
+      feed (reader, streams[i].chunks);
+      while (ln_take (reader, &line, &status) == GM_OK && line != NULL)
+        g_string_append_printf (seen, "%s%s", seen->len > 0 ? "," : "", line);
+      g_assert_cmpstr (seen->str, ==, streams[i].lines);
+      g_assert_cmpint (status.kind, ==, streams[i].end);
+      g_assert_nonnull (strstr (status.message, streams[i].says));
+      ln_reader_free (reader);
+    }
+}
+
+static void
+test_long_line (void)
+{
+  LnReader *reader = ln_reader_new ();
+  GmStatus status;
+  char *line;
+  g_autofree char *block = g_strnfill (65536, 'x');
+  for (guint i = 0; i < LN_LINE_MAX / 65536; i++)
+    {
+      ln_feed (reader, block, 65536);
+      g_assert_cmpint (ln_take (reader, &line, &status), ==, GM_OK);
+      g_assert_null (line);
+    }
+  ln_feed (reader, "x", 1);
+  g_assert_cmpint (ln_take (reader, &line, &status), ==, GM_TOO_LARGE);
+  ln_reader_free (reader);
+}
+
+/* Lines that ask; NULL in says: they are read.  */
+static const struct
+{
+  const char *line;
+  const char *says;
+  LnRequestType type;
+  const char *first;
+  const char *last;
+} requests[] = {
+  { "START lepu270 u3f1", NULL, LN_START, "lepu270", NULL },
+  { "START huvo11a tenant i-7f", NULL, LN_START, "huvo11a", "i-7f" },
+  { "QUERY 5c0e READ 1a4", NULL, LN_QUERY, "5c0e", "READ 1a4" },
+  { "BYE", NULL, LN_BYE, NULL, NULL },
+  { "START", "\"database\" is missing", LN_START, NULL, NULL },
+  { "QUERY", "\"id\" is missing", LN_QUERY, NULL, NULL },
+  { "QUERY 5c0e", "\"text\" is missing", LN_QUERY, NULL, NULL },
+  { "QUERY 5c0e ", "\"text\" is missing", LN_QUERY, NULL, NULL },
+  { "HELLO there", "\"HELLO\" is not known", LN_BYE, NULL, NULL },
+  { "", "\"\" is not known", LN_BYE, NULL, NULL },
+  { "query 1 READ a", "\"query\" is not known", LN_BYE, NULL, NULL },
+};
+
+static void
+test_requests (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (requests); i++)
+    {
+      g_autofree char *line = g_strdup (requests[i].line);
+      LnRequest request;
+      GmStatus status = { GM_OK, "" };
+      GmKind kind = ln_request (line, &request, &status);
+      if (requests[i].says != NULL)
+        {
+          g_assert_cmpint (kind, ==, GM_INVALID);
+          g_assert_nonnull (strstr (status.message, requests[i].says));
+          continue;
+        }
+      gboolean query = request.type == LN_QUERY;
+      g_assert_cmpint (kind, ==, GM_OK);
+      g_assert_cmpint (request.type, ==, requests[i].type);
+      g_assert_cmpstr (query ? request.id : request.database, ==,
+                       requests[i].first);
+      g_assert_cmpstr (query ? request.text : request.expected, ==,
+                       requests[i].last);
+    }
+}
+
+/* Texts of queries.  */
+static const struct
+{
+  const char *text;
+  const char *says; /* NULL: read */
+  SnVerb verb;
+  const char *name;
+  const char *argument;
+  gboolean flag; /* read only, or writes */
+} statements[] = {
+  { "READ 1a4", NULL, SN_READ, NULL, NULL, FALSE },
+  { "WRITE 1a4 data with blanks", NULL, SN_WRITE, NULL, NULL, FALSE },
+  { "BEGIN", NULL, SN_BEGIN, NULL, NULL, FALSE },
+  { "BEGIN READ", NULL, SN_BEGIN, NULL, NULL, TRUE },
+  { "COMMIT", NULL, SN_COMMIT, NULL, NULL, FALSE },
+  { "ROLLBACK", NULL, SN_ROLLBACK, NULL, NULL, FALSE },
+  { "SET tz Asia Almaty", NULL, SN_SET, "tz", "Asia Almaty", FALSE },
+  { "PREPARE s1 WRITE q2c", NULL, SN_PREPARE, "s1", "WRITE q2c", TRUE },
+  { "PREPARE s1 READ q2c", NULL, SN_PREPARE, "s1", "READ q2c", FALSE },
+  { "EXEC s1 1a4 xk", NULL, SN_EXECUTE, "s1", "1a4 xk", FALSE },
+  { "DEALLOC s1", NULL, SN_DEALLOCATE, "s1", NULL, FALSE },
+  { "READ", "READ: the field \"item\"", SN_READ, NULL, NULL, FALSE },
+  { "SET tz", "SET: the field \"value\"", SN_SET, NULL, NULL, FALSE },
+  { "SET", "SET: the field \"name\"", SN_SET, NULL, NULL, FALSE },
+  { "PREPARE s1 q2c", "READ or WRITE is needed", SN_SET, NULL, NULL, FALSE },
+  { "PREPARE s1 READ", "\"shape\" is missing", SN_SET, NULL, NULL, FALSE },
+  { "EXEC s1", "\"item\" is missing", SN_SET, NULL, NULL, FALSE },
+  { "BEGIN WRITE", "READ or nothing", SN_BEGIN, NULL, NULL, FALSE },
+  { "COMMIT now", "COMMIT takes no field", SN_BEGIN, NULL, NULL, FALSE },
+  { "AFTER 3.1 READ a", "not known", SN_READ, NULL, NULL, FALSE },
+  { "DISCARD", "not known", SN_READ, NULL, NULL, FALSE },
+  { "STATUS", "not known", SN_READ, NULL, NULL, FALSE },
+  { "PAUSE 9", "not known", SN_READ, NULL, NULL, FALSE },
+  { "STEPDOWN 9", "not known", SN_READ, NULL, NULL, FALSE },
+};
+
+static void
+test_statements (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (statements); i++)
+    {
+      SnStatement st;
+      GmStatus status = { GM_OK, "" };
+      GmKind kind = ln_statement ("id", statements[i].text, &st, &status);
+      if (statements[i].says != NULL)
+        {
+          g_assert_cmpint (kind, ==, GM_INVALID);
+          g_assert_nonnull (strstr (status.message, statements[i].says));
+          continue;
+        }
+      g_assert_cmpint (kind, ==, GM_OK);
+      g_assert_cmpint (st.verb, ==, statements[i].verb);
+      g_assert_cmpstr (st.text, ==, statements[i].text);
+      g_assert_cmpstr (st.id, ==, "id");
+      g_assert_cmpstr (st.name, ==, statements[i].name);
+      g_assert_cmpstr (st.argument, ==, statements[i].argument);
+      g_assert_cmpint (st.read_only || st.writes, ==, statements[i].flag);
+      sn_statement_clear (&st);
+    }
+}
+
+/* Lines that answer.  */
+static const struct
+{
+  const char *line;
+  const char *says; /* NULL: read */
+  LnAnswerType type;
+  const char *text;
+  guint64 term;
+  guint64 number;
+} answers[] = {
+  { "READY I 3.1207", NULL, LN_READY, "", 3, 1207 },
+  { "READY T -", NULL, LN_READY, "", 0, 0 },
+  { "ROW a b c", NULL, LN_ROW, "a b c", 0, 0 },
+  { "ROW", NULL, LN_ROW, "", 0, 0 },
+  { "DONE 7.1f3", NULL, LN_DONE, "7.1f3", 0, 0 },
+  { "ERR READONLY i-7f", NULL, LN_ERR, "i-7f", 0, 0 },
+  { "READY X -", "state is not known", LN_READY, "", 0, 0 },
+  { "READY I", "no position", LN_READY, "", 0, 0 },
+  { "READY I 3", "no position", LN_READY, "", 0, 0 },
+  { "READY I 3.x", "no position", LN_READY, "", 0, 0 },
+  { "DONE", "no signature", LN_READY, "", 0, 0 },
+  { "ERR", "no code", LN_READY, "", 0, 0 },
+  { "WELL", "not known", LN_READY, "", 0, 0 },
+};
+
+static void
+test_answers (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      g_autofree char *line = g_strdup (answers[i].line);
+      LnAnswer answer;
+      GmStatus status = { GM_OK, "" };
+      GmKind kind = ln_answer (line, &answer, &status);
+      if (answers[i].says != NULL)
+        {
+          g_assert_cmpint (kind, ==, GM_CORRUPT);
+          g_assert_nonnull (strstr (status.message, answers[i].says));
+          continue;
+        }
+      g_assert_cmpint (kind, ==, GM_OK);
+      g_assert_cmpint (answer.type, ==, answers[i].type);
+      g_assert_cmpstr (answer.text, ==, answers[i].text);
+      g_assert_cmpuint (answer.point.term, ==, answers[i].term);
+      g_assert_cmpuint (answer.point.position, ==, answers[i].number);
+    }
+}
+
+static const struct
+{
+  const char *row;
+  gboolean good;
+  gboolean primary;
+  guint64 term;
+  guint64 number;
+  guint64 held;
+} statuses[] = {
+  { "replica 3 3.1209 0 12 2 17", TRUE, FALSE, 3, 1209, 0 },
+  { "primary 1 1.0 0 0 1 1", TRUE, TRUE, 1, 0, 0 },
+  { "replica 3 2.7 9 12 2 17", TRUE, FALSE, 3, 7, 9 },
+  { "replica 3", FALSE, FALSE, 0, 0, 0 },
+  { "observer 3 3.1209 0 12 2 17", FALSE, FALSE, 0, 0, 0 },
+  { "replica x 3.1209 0 12 2 17", FALSE, FALSE, 0, 0, 0 },
+  { "", FALSE, FALSE, 0, 0, 0 },
+};
+
+static void
+test_statuses (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (statuses); i++)
+    {
+      FoDatabase status;
+      g_assert_cmpint (ln_status (statuses[i].row, &status), ==,
+                       statuses[i].good);
+      if (!statuses[i].good)
+        continue;
+      g_assert_cmpint (status.primary, ==, statuses[i].primary);
+      g_assert_cmpuint (status.term, ==, statuses[i].term);
+      g_assert_cmpuint (status.received, ==, statuses[i].number);
+      g_assert_cmpuint (status.held, ==, statuses[i].held);
+    }
+}
+
+/* What a caller hears of each kind.  A promise may be given only for kinds that
+   say "not run".  */
+static void
+test_codes (void)
+{
+  static const char *const promises[]
+      = { "BUSY",     "ABORTED",   "LAGGING", "READONLY",
+          "WRONGNODE", "TOOMANY",  "NODB",    "MALFORMED" };
+  for (int i = 1; i < GM_KIND_COUNT; i++)
+    {
+      const char *code = ln_code ((GmKind)i);
+      gboolean promise = FALSE;
+      for (guint j = 0; j < G_N_ELEMENTS (promises); j++)
+        promise = promise || strcmp (promises[j], code) == 0;
+      if (promise)
+        g_assert_cmpint (gm_kind_ran ((GmKind)i), ==, GM_RAN_NO);
+    }
+  g_assert_cmpint (ln_kind ("READONLY"), ==, GM_READ_ONLY);
+  g_assert_cmpint (ln_kind ("LAGGING"), ==, GM_LAGGING);
+  g_assert_cmpint (ln_kind ("FAILED"), ==, GM_STATEMENT_FAILED);
+  g_assert_cmpint (ln_kind ("TIMEOUT"), ==, GM_OUTCOME_UNKNOWN);
+  g_assert_cmpint (ln_kind ("SOMETHING"), ==, GM_OUTCOME_UNKNOWN);
+}
+
+static void
+test_error_line (void)
+{
+  g_autoptr (GString) out = g_string_new (NULL);
+  ln_put_err (out, GM_DEADLINE, "two\r\nlines", 40);
+  g_assert_cmpstr (out->str, ==,
+                   "ERR BUSY two  lines; come back in 40 ms\r\n");
+}
+
+#define ROUTE(name, type, more)                                               \
+  "{\"name\":\"r\",\"database\":\"" name                                      \
+  "\",\"pathPrefix\":\"/\",\"routeType\":\"" type                             \
+  "\",\"targetLatencyMs\":100,\"priority\":0,\"serviceName\":\"s\","          \
+  "\"maxAttempts\":2" more "}"
+#define MANIFEST(routes)                                                      \
+  "{\"version\":7,\"routes\":[" routes                                        \
+  "],\"services\":[{\"name\":\"s\",\"maxConnections\":36,"                    \
+  "\"syncReplicas\":1}],\"limits\":{\"txIdleMs\":3000}}"
+
+static const struct
+{
+  const char *text;
+  const char *says;
+} bad_manifests[] = {
+  { "{\"version\":7", "manifest:1" },
+  { "[]", "must be an object" },
+  { "{\"version\":7}", "must be lists" },
+  { "{\"version\":\"7\",\"routes\":[],\"services\":[]}", "\"version\"" },
+  { MANIFEST (ROUTE ("a", "primary", ",\"timeoutMs\":0")), "\"timeoutMs\"" },
+  { MANIFEST (ROUTE ("a", "primary", "")), "\"timeoutMs\"" },
+  { MANIFEST (ROUTE ("a", "other", ",\"timeoutMs\":5")), "no type of a" },
+  { MANIFEST (ROUTE ("a", "bounded_staleness", ",\"timeoutMs\":5")),
+    "\"maxStalenessMs\"" },
+  { MANIFEST (ROUTE ("a", "primary", ",\"timeoutMs\":5") "," ROUTE (
+        "a", "primary", ",\"timeoutMs\":5")),
+    "stands twice" },
+  { "{\"version\":1,\"routes\":[" ROUTE ("a", "primary", ",\"timeoutMs\":5")
+        "],\"services\":[{\"name\":\"other\"}]}",
+    "\"s\" is not listed" },
+};
+
+static void
+test_bad_manifests (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (bad_manifests); i++)
+    {
+      GmStatus status = { GM_OK, "" };
+      guint64 number;
+      g_assert_null (pt_manifest_translate (bad_manifests[i].text,
+                                            strlen (bad_manifests[i].text),
+                                            &number, &status));
+      g_assert_cmpint (status.kind, ==, GM_INVALID);
+      if (strstr (status.message, bad_manifests[i].says) == NULL)
+        g_error ("%s: %s", bad_manifests[i].text, status.message);
+    }
+}
+
+static void
+test_manifest (void)
+{
+  static const char text[] = MANIFEST (
+      ROUTE ("a", "primary", ",\"timeoutMs\":800") ","
+      ROUTE ("b", "bounded_staleness",
+             ",\"timeoutMs\":1200,\"maxStalenessMs\":1500") ","
+      ROUTE ("c", "read_your_writes",
+             ",\"timeoutMs\":900,\"maxStalenessMs\":2500"));
+  GmStatus status;
+  guint64 number;
+  g_autoptr (GBytes) own
+      = pt_manifest_translate (text, strlen (text), &number, &status);
+  g_assert_nonnull (own);
+  g_assert_cmpuint (number, ==, 7);
+  gsize length;
+  const char *data = g_bytes_get_data (own, &length);
+  g_autoptr (CfDeclaration) d
+      = cf_declaration_parse ("own", data, length, &status);
+  g_assert_cmpint (d->numbering, ==, CF_NUMBERING_HIGHEST);
+  g_assert_cmpint (d->transaction_idle_ms, ==, 3000);
+  g_assert_cmpint (cf_group_find (d, "s")->connections, ==, 36);
+  g_assert_cmpint (cf_service_find (d, "a")->reads, ==, CF_READS_PRIMARY);
+  g_assert_cmpint (cf_service_find (d, "a")->rank, ==, CF_URGENT);
+  g_assert_cmpint (cf_service_find (d, "a")->deadline_ms, ==, 800);
+  g_assert_cmpint (cf_service_find (d, "b")->reads, ==, CF_READS_BOUNDED);
+  g_assert_cmpint (cf_service_find (d, "b")->max_age_ms, ==, 1500);
+  g_assert_cmpint (cf_service_find (d, "c")->reads, ==, CF_READS_SESSION);
+  g_assert_null (cf_service_find (d, "d"));
+}
+
+#define BEAT(field, value)                                                    \
+  "{\"serviceName\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","        \
+  "\"capacity\":2,\"state\":\"ready\",\"dbRole\":\"replica\",\"sequence\":4," \
+  "\"born\":1700,\"" field "\":" value "}"
+
+static const struct
+{
+  const char *text;
+  const char *says;
+} bad_beats[] = {
+  { "\xff\xfe", "body" },
+  { "{}", "serviceName" },
+  { "{\"serviceName\":\"other\"}", "serviceName" },
+  { "{\"serviceName\":\"s\",\"address\":\"here\"}", "address" },
+  { "{\"serviceName\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":1}", "zone" },
+  { "{\"serviceName\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+    "\"state\":\"odd\"}",
+    "state" },
+  { "{\"serviceName\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+    "\"state\":\"ready\",\"dbRole\":\"king\"}",
+    "dbRole" },
+  { "{\"serviceName\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+    "\"state\":\"ready\",\"dbRole\":\"replica\",\"capacity\":\"2\"}",
+    "capacity" },
+};
+
+static CfDeclaration *
+one_group (void)
+{
+  static const char text[]
+      = "{\"number\": 1, \"groups\": [{\"name\": \"s\"}], \"services\": "
+        "[{\"name\": \"a\", \"depends_on\": [\"s\"], \"rank\": \"urgent\", "
+        "\"deadline_ms\": 5}]}";
+  GmStatus status;
+  return cf_declaration_parse ("test", text, strlen (text), &status);
+}
+
+static void
+test_announcements (void)
+{
+  g_autoptr (CfDeclaration) declaration = one_group ();
+  static const char good[] = BEAT ("version", "\"v1\"");
+  WmMessage m;
+  GmStatus status = { GM_OK, "" };
+  g_assert_cmpint (pt_announcement_read ("i-1", good, strlen (good),
+                                         declaration, &m, &status),
+                   ==, GM_OK);
+  g_assert_cmpstr (m.cmd_database.id, ==, "i-1");
+  g_assert_cmpuint (m.cmd_database.incarnation, ==, 1700);
+  g_assert_cmpuint (m.cmd_database.sequence, ==, 4);
+  g_assert_cmpuint (m.cmd_database.primary, ==, 0);
+  g_assert_cmpuint (pt_announcement_born (good, strlen (good)), ==, 1700);
+  wm_clear (&m);
+  for (guint i = 0; i < G_N_ELEMENTS (bad_beats); i++)
+    {
+      g_assert_cmpint (pt_announcement_read ("i-1", bad_beats[i].text,
+                                             strlen (bad_beats[i].text),
+                                             declaration, &m, &status),
+                       !=, GM_OK);
+      if (strstr (status.message, bad_beats[i].says) == NULL)
+        g_error ("%s: %s", bad_beats[i].text, status.message);
+    }
+}
+
+static const char *const seeds_of_garbage[]
+    = { "QUERY 5c0e PREPARE s1 WRITE q2c\r\n",
+        "READY I 3.1207\r\nROW a\r\nERR BUSY x\r\nDONE 7.1\r\n",
+        "START huvo11a tenant i-7f3a91c2\r\n",
+        MANIFEST (ROUTE ("a", "primary", ",\"timeoutMs\":800")),
+        BEAT ("version", "\"v1\"") };
+
+/* Damages TEXT in a few places or cuts it.  */
+static char *
+damage (GmRandom *random, const char *text, gsize *length)
+{
+  gsize n = strlen (text);
+  char *copy = g_strdup (text);
+  guint hits = (guint)gm_random_below (random, 4);
+  for (guint i = 0; i < hits; i++)
+    copy[gm_random_below (random, n)] = (char)gm_random_below (random, 256);
+  *length = gm_random_below (random, 3) == 0 ? gm_random_below (random, n + 1)
+                                             : n;
+  return copy;
+}
+
+static void
+read_lines (const char *text, gsize length)
+{
+  LnReader *reader = ln_reader_new ();
+  char *line;
+  GmStatus status;
+  ln_feed (reader, text, length);
+  while (ln_take (reader, &line, &status) == GM_OK && line != NULL)
+    {
+      g_autofree char *copy = g_strdup (line);
+      LnAnswer answer;
+      LnRequest request;
+      SnStatement st;
+      FoDatabase database;
+      ln_answer (copy, &answer, &status);
+      ln_status (line, &database);
+      if (ln_request (line, &request, &status) == GM_OK
+          && request.type == LN_QUERY
+          && ln_statement (request.id, request.text, &st, &status) == GM_OK)
+        sn_statement_clear (&st);
+    }
+  ln_reader_free (reader);
+}
+
+static void
+test_garbage (void)
+{
+  g_autoptr (CfDeclaration) declaration = one_group ();
+  GmRandom random;
+  gm_random_seed (&random, 1);
+  for (guint i = 0; i < GARBAGE_ROUNDS; i++)
+    {
+      gsize length;
+      GmStatus status;
+      guint64 number;
+      WmMessage m;
+      g_autofree char *text = damage (
+          &random, seeds_of_garbage[i % G_N_ELEMENTS (seeds_of_garbage)],
+          &length);
+      read_lines (text, length);
+      GBytes *own = pt_manifest_translate (text, length, &number, &status);
+      if (own != NULL)
+        g_bytes_unref (own);
+      if (pt_announcement_read ("i", text, length, declaration, &m, &status)
+          == GM_OK)
+        wm_clear (&m);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/platform/streams", test_streams);
+  g_test_add_func ("/platform/long-line", test_long_line);
+  g_test_add_func ("/platform/requests", test_requests);
+  g_test_add_func ("/platform/statements", test_statements);
+  g_test_add_func ("/platform/answers", test_answers);
+  g_test_add_func ("/platform/statuses", test_statuses);
+  g_test_add_func ("/platform/codes", test_codes);
+  g_test_add_func ("/platform/error-line", test_error_line);
+  g_test_add_func ("/platform/manifest", test_manifest);
+  g_test_add_func ("/platform/bad-manifests", test_bad_manifests);
+  g_test_add_func ("/platform/announcements", test_announcements);
+  g_test_add_func ("/platform/garbage", test_garbage);
+  return g_test_run ();
+}
