--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -686,21 +686,13 @@
   return count;
 }
 
-/* HELD counts the databases that each host was given so far.  */
+/* The heaviest pool host under SEED in the data centre WITHIN, or anywhere
+   when that is NULL, that holds fewer databases than SHARE; or NULL.  HELD
+   counts the databases that each host was given so far.  */
 static const CsHost *
-find_pool (const CsState *state, const CsDatabase *database, GHashTable *held)
+heaviest_pool (const CsState *state, const char *within, guint64 seed,
+               guint share, GHashTable *held)
 {
-  const char *within = database->data_centre;
-  guint hosts = pool_hosts_in (state, within);
-  if (hosts == 0)
-    {
-      within = NULL;
-      hosts = pool_hosts_in (state, NULL);
-    }
-  if (hosts == 0)
-    return NULL;
-  guint share = (databases_in (state, within) + hosts - 1) / hosts;
-  guint64 seed = gm_hash (database->id, strlen (database->id), 0);
   const CsHost *best = NULL;
   GHashTableIter iter;
   gpointer value;
@@ -713,11 +705,29 @@
           && (within == NULL || strcmp (host->data_centre, within) == 0))
         best = heavier (host, best, seed);
     }
-  if (best != NULL)
+  return best;
+}
+
+static const CsHost *
+find_pool (const CsState *state, const CsDatabase *database, GHashTable *held)
+{
+  const char *within = database->data_centre;
+  guint hosts = pool_hosts_in (state, within);
+  if (hosts == 0)
     {
-      guint has = GPOINTER_TO_UINT (g_hash_table_lookup (held, best));
-      g_hash_table_insert (held, (gpointer)best, GUINT_TO_POINTER (has + 1));
+      within = NULL;
+      hosts = pool_hosts_in (state, NULL);
     }
+  if (hosts == 0)
+    return NULL;
+  guint share = (databases_in (state, within) + hosts - 1) / hosts;
+  guint64 seed = gm_hash (database->id, strlen (database->id), 0);
+  const CsHost *best = heaviest_pool (state, within, seed, share, held);
+  /* Databases of a data centre without hosts may have used up the share.  */
+  if (best == NULL)
+    best = heaviest_pool (state, within, seed, G_MAXUINT, held);
+  guint has = GPOINTER_TO_UINT (g_hash_table_lookup (held, best));
+  g_hash_table_insert (held, (gpointer)best, GUINT_TO_POINTER (has + 1));
   return best;
 }
 
--- a/lib/wire/link.c
+++ b/lib/wire/link.c
@@ -24,7 +24,7 @@
   const LkIdentity *self;
   const LkHandler *handler;
   void *owner;
-  StStream *stream; /* NULL once closed */
+  NsStream *stream; /* NULL once closed */
   guint timer;
   char *peer;
   guint64 incarnation;
@@ -35,7 +35,7 @@
 
 struct LkServer
 {
-  StListener *listener;
+  NsListener *listener;
   const LkIdentity *self;
   const LkHandler *handler;
   void *owner;
@@ -67,7 +67,7 @@
   link_ref (link);
   link->state = LINK_CLOSED;
   g_clear_handle_id (&link->timer, g_source_remove);
-  st_close (link->stream);
+  ns_close (link->stream);
   link->stream = NULL;
   if (!link->silent)
     link->handler->down (link, link->owner);
@@ -91,7 +91,7 @@
   g_autoptr (GByteArray) frame = g_byte_array_new ();
   wm_append (frame, message);
   gm_count (GM_M_frames_out_total, 1);
-  st_write (link->stream, frame->data, frame->len);
+  ns_write (link->stream, frame->data, frame->len);
 }
 
 static gboolean
@@ -266,7 +266,7 @@
 }
 
 static void
-on_data (StStream *stream, const char *data, gsize length, gpointer owner)
+on_data (NsStream *stream, const char *data, gsize length, gpointer owner)
 {
   (void)stream;
   LkLink *link = link_ref (owner);
@@ -276,7 +276,7 @@
 }
 
 static void
-on_closed (StStream *stream, const char *why, gpointer owner)
+on_closed (NsStream *stream, const char *why, gpointer owner)
 {
   (void)stream;
   (void)why;
@@ -286,13 +286,13 @@
 }
 
 static void
-on_connected (StStream *stream, gpointer owner)
+on_connected (NsStream *stream, gpointer owner)
 {
   (void)stream;
   ((LkLink *)owner)->state = LINK_SHAKING;
 }
 
-static const StHandler stream_handler
+static const NsHandler stream_handler
     = { .connected = on_connected, .data = on_data, .closed = on_closed };
 
 static gboolean
@@ -324,7 +324,7 @@
   const LkServer *server = owner;
   LkLink *link = link_new (server->self, server->handler, server->owner);
   link->state = LINK_SHAKING;
-  link->stream = st_accepted (socket, LK_SILENCE_MS, &stream_handler, link);
+  link->stream = ns_accepted (socket, LK_SILENCE_MS, &stream_handler, link);
   g_autoptr (GBytes) nonce = g_bytes_new (link->nonce, NONCE_BYTES);
   WmMessage challenge
       = { .type = WM_TYPE_CHALLENGE,
@@ -340,7 +340,7 @@
   server->self = self;
   server->handler = handler;
   server->owner = owner;
-  server->listener = st_listen (address, on_accept, server, status);
+  server->listener = ns_listen (address, on_accept, server, status);
   if (server->listener == NULL)
     g_clear_pointer (&server, g_free);
   return server;
@@ -351,7 +351,7 @@
 {
   if (server == NULL)
     return;
-  st_listener_free (server->listener);
+  ns_listener_free (server->listener);
   g_free (server);
 }
 
@@ -361,14 +361,14 @@
 {
   LkLink *link = link_new (self, handler, owner);
   link->dialed = TRUE;
-  link->stream = st_connect (address, LK_SILENCE_MS, &stream_handler, link);
+  link->stream = ns_connect (address, LK_SILENCE_MS, &stream_handler, link);
   return link;
 }
 
 gboolean
 lk_send (LkLink *link, const WmMessage *message)
 {
-  if (link->state != LINK_UP || st_queued (link->stream) > LK_QUEUE_MAX)
+  if (link->state != LINK_UP || ns_queued (link->stream) > LK_QUEUE_MAX)
     return FALSE;
   link_queue (link, message);
   return TRUE;
--- a/lib/wire/stream.c
+++ b/lib/wire/stream.c
@@ -8,10 +8,10 @@
 #define CONNECT_MS 1500 /* three times a handshake under full load */
 #define FINISH_MS 1000  /* for a peer to take the last bytes */
 
-struct StStream
+struct NsStream
 {
   GSocket *socket;
-  const StHandler *handler;
+  const NsHandler *handler;
   gpointer owner;
   gboolean connecting;
   gboolean finishing;
@@ -22,11 +22,11 @@
   char *failure; /* told at the next turn of the main context */
 };
 
-struct StListener
+struct NsListener
 {
   GSocket *socket;
   GSource *source;
-  StAccept accept;
+  NsAccept accept;
   gpointer owner;
 };
 
@@ -41,7 +41,7 @@
 }
 
 void
-st_close (StStream *stream)
+ns_close (NsStream *stream)
 {
   if (stream == NULL)
     return;
@@ -57,26 +57,26 @@
 }
 
 static void
-fail (StStream *stream, const char *why)
+fail (NsStream *stream, const char *why)
 {
-  const StHandler *handler = stream->handler;
+  const NsHandler *handler = stream->handler;
   gpointer owner = stream->owner;
   if (stream->finishing)
     {
-      st_close (stream);
+      ns_close (stream);
       return;
     }
   /* The owner may hold STREAM until it is told; it must not use it then.  */
   g_autofree char *text = g_strdup (why);
   handler->closed (stream, text, owner);
-  st_close (stream);
+  ns_close (stream);
 }
 
 static gboolean
 on_readable (GSocket *socket, GIOCondition condition, gpointer data)
 {
   (void)condition;
-  StStream *stream = data;
+  NsStream *stream = data;
   char buffer[READ_BYTES];
   g_autoptr (GError) error = NULL;
   gssize got = g_socket_receive (socket, buffer, sizeof buffer, NULL, &error);
@@ -93,7 +93,7 @@
 }
 
 static void
-start_reading (StStream *stream)
+start_reading (NsStream *stream)
 {
   stream->reader = g_socket_create_source (stream->socket, G_IO_IN, NULL);
   g_source_set_callback (stream->reader, G_SOURCE_FUNC (on_readable), stream,
@@ -103,7 +103,7 @@
 
 /* Sends what waits.  FALSE when the connection has failed.  */
 static gboolean
-flush (StStream *stream)
+flush (NsStream *stream)
 {
   g_autoptr (GError) error = NULL;
   while (stream->waiting->len > 0)
@@ -124,7 +124,7 @@
 on_writable (GSocket *socket, GIOCondition condition, gpointer data)
 {
   (void)condition;
-  StStream *stream = data;
+  NsStream *stream = data;
   g_autoptr (GError) error = NULL;
   if (stream->connecting && !g_socket_check_connect_result (socket, &error))
     {
@@ -148,14 +148,14 @@
   if (stream->waiting->len > 0)
     return G_SOURCE_CONTINUE;
   if (stream->finishing)
-    st_close (stream);
+    ns_close (stream);
   else
     drop_source (&stream->writer);
   return G_SOURCE_REMOVE;
 }
 
 static void
-start_writing (StStream *stream)
+start_writing (NsStream *stream)
 {
   if (stream->writer != NULL)
     return;
@@ -166,7 +166,7 @@
 }
 
 void
-st_write (StStream *stream, const void *data, gsize length)
+ns_write (NsStream *stream, const void *data, gsize length)
 {
   if (stream->finishing)
     return;
@@ -179,7 +179,7 @@
 }
 
 gsize
-st_queued (const StStream *stream)
+ns_queued (const NsStream *stream)
 {
   return stream->waiting->len;
 }
@@ -187,19 +187,19 @@
 static gboolean
 finish_late (gpointer data)
 {
-  StStream *stream = data;
+  NsStream *stream = data;
   stream->timer = 0;
-  st_close (stream);
+  ns_close (stream);
   return G_SOURCE_REMOVE;
 }
 
 void
-st_finish (StStream *stream)
+ns_finish (NsStream *stream)
 {
   stream->finishing = TRUE;
   if (stream->waiting->len == 0)
     {
-      st_close (stream);
+      ns_close (stream);
       return;
     }
   start_writing (stream);
@@ -207,11 +207,11 @@
   stream->timer = g_timeout_add (FINISH_MS, finish_late, stream);
 }
 
-static StStream *
-stream_new (GSocket *socket, guint silence_ms, const StHandler *handler,
+static NsStream *
+stream_new (GSocket *socket, guint silence_ms, const NsHandler *handler,
             gpointer owner)
 {
-  StStream *stream = g_new0 (StStream, 1);
+  NsStream *stream = g_new0 (NsStream, 1);
   stream->socket = socket;
   stream->handler = handler;
   stream->owner = owner;
@@ -226,11 +226,11 @@
   return stream;
 }
 
-StStream *
-st_accepted (GSocket *socket, guint silence_ms, const StHandler *handler,
+NsStream *
+ns_accepted (GSocket *socket, guint silence_ms, const NsHandler *handler,
              gpointer owner)
 {
-  StStream *stream = stream_new (socket, silence_ms, handler, owner);
+  NsStream *stream = stream_new (socket, silence_ms, handler, owner);
   start_reading (stream);
   return stream;
 }
@@ -238,23 +238,23 @@
 static gboolean
 connect_late (gpointer data)
 {
-  StStream *stream = data;
+  NsStream *stream = data;
   stream->timer = 0;
   fail (stream,
         stream->failure != NULL ? stream->failure : "no connection in time");
   return G_SOURCE_REMOVE;
 }
 
-StStream *
-st_connect (const CfAddress *address, guint silence_ms,
-            const StHandler *handler, gpointer owner)
+NsStream *
+ns_connect (const CfAddress *address, guint silence_ms,
+            const NsHandler *handler, gpointer owner)
 {
   g_autoptr (GError) error = NULL;
   g_autoptr (GSocketAddress) to
       = g_inet_socket_address_new_from_string (address->ip, address->port);
   GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
                                   G_SOCKET_PROTOCOL_TCP, &error);
-  StStream *stream = stream_new (socket, silence_ms, handler, owner);
+  NsStream *stream = stream_new (socket, silence_ms, handler, owner);
   stream->connecting = TRUE;
   gboolean started
       = socket != NULL
@@ -273,15 +273,15 @@
 on_acceptable (GSocket *socket, GIOCondition condition, gpointer data)
 {
   (void)condition;
-  StListener *listener = data;
+  NsListener *listener = data;
   GSocket *accepted = g_socket_accept (socket, NULL, NULL);
   if (accepted != NULL)
     listener->accept (accepted, listener->owner);
   return G_SOURCE_CONTINUE;
 }
 
-StListener *
-st_listen (CfAddress *address, StAccept accept, gpointer owner,
+NsListener *
+ns_listen (CfAddress *address, NsAccept accept, gpointer owner,
            GmStatus *status)
 {
   g_autoptr (GError) error = NULL;
@@ -303,7 +303,7 @@
   address->port
       = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
   g_socket_set_blocking (socket, FALSE);
-  StListener *listener = g_new0 (StListener, 1);
+  NsListener *listener = g_new0 (NsListener, 1);
   listener->socket = socket;
   listener->accept = accept;
   listener->owner = owner;
@@ -315,7 +315,7 @@
 }
 
 void
-st_listener_free (StListener *listener)
+ns_listener_free (NsListener *listener)
 {
   if (listener == NULL)
     return;
--- /dev/null
+++ b/standin/replicas.c
@@ -0,0 +1,276 @@
+#include "replicas.h"
+#include <string.h>
+
+static void
+commit_free (MdCommit *commit)
+{
+  g_array_unref (commit->writes);
+  g_free (commit);
+}
+
+static MdCommit *
+commit_copy (const MdCommit *commit)
+{
+  MdCommit *copy = g_new0 (MdCommit, 1);
+  copy->term = commit->term;
+  copy->writes = g_array_copy (commit->writes);
+  return copy;
+}
+
+void
+md_init (MdGroup *g, void (*violation) (const char *what))
+{
+  memset (g, 0, sizeof *g);
+  g->violation = violation;
+  g->newest_term = 1;
+  g->acknowledged = g_array_new (FALSE, FALSE, sizeof (MdAck));
+  for (guint i = 0; i < MD_DATABASES; i++)
+    {
+      MdDatabase *d = &g->databases[i];
+      g_snprintf (d->id, sizeof d->id, "db%u", i);
+      d->incarnation = 1;
+      d->up = TRUE;
+      d->primary = i == 0;
+      d->term = 1;
+      d->log = g_ptr_array_new_with_free_func ((GDestroyNotify)commit_free);
+    }
+  /* A group's log begins with one entry: position 0 says nothing.  */
+  for (guint i = 0; i < MD_DATABASES; i++)
+    {
+      MdCommit *first = g_new0 (MdCommit, 1);
+      first->term = 1;
+      first->writes = g_array_new (FALSE, FALSE, sizeof (guint64));
+      g_ptr_array_add (g->databases[i].log, first);
+      g->databases[i].applied = 1;
+    }
+}
+
+void
+md_clear (MdGroup *g)
+{
+  for (guint i = 0; i < MD_DATABASES; i++)
+    g_ptr_array_unref (g->databases[i].log);
+  g_array_unref (g->acknowledged);
+}
+
+void
+md_broken (MdGroup *g, const char *what)
+{
+  g->violations++;
+  g->violation (what);
+}
+
+TkPoint
+md_position (const MdDatabase *d, guint length)
+{
+  if (length == 0)
+    return (TkPoint){ 0, 0 };
+  const MdCommit *last = g_ptr_array_index (d->log, length - 1);
+  return (TkPoint){ last->term, length };
+}
+
+gboolean
+md_has (const MdDatabase *d, guint length, TkPoint point)
+{
+  if (point.position == 0)
+    return TRUE;
+  if (point.position > length)
+    return FALSE;
+  const MdCommit *at = g_ptr_array_index (d->log, point.position - 1);
+  return at->term == point.term;
+}
+
+static gboolean
+receives (const MdDatabase *d, const MdDatabase *primary)
+{
+  return d != primary && d->up && !d->primary && !d->deaf
+         && (d->held == 0 || primary->term >= d->held);
+}
+
+static guint
+common_length (const MdDatabase *a, const MdDatabase *b)
+{
+  guint most = MIN (a->log->len, b->log->len), n = 0;
+  while (n < most
+         && ((MdCommit *)g_ptr_array_index (a->log, n))->term
+                == ((MdCommit *)g_ptr_array_index (b->log, n))->term)
+    n++;
+  return n;
+}
+
+static void
+receive_all (MdDatabase *d, const MdDatabase *primary)
+{
+  guint same = common_length (d, primary);
+  g_ptr_array_set_size (d->log, (gint)same);
+  d->applied = MIN (d->applied, same);
+  for (guint i = same; i < primary->log->len; i++)
+    g_ptr_array_add (d->log,
+                     commit_copy (g_ptr_array_index (primary->log, i)));
+  d->term = primary->term;
+}
+
+static MdDatabase *
+leader_of (MdGroup *g)
+{
+  for (guint i = 0; i < MD_DATABASES; i++)
+    if (g->databases[i].primary && g->databases[i].term == g->newest_term)
+      return &g->databases[i];
+  return NULL;
+}
+
+void
+md_replicate (MdGroup *g, GmRandom *random)
+{
+  const MdDatabase *primary = leader_of (g);
+  for (guint i = 0; i < MD_DATABASES; i++)
+    {
+      MdDatabase *d = &g->databases[i];
+      if (primary != NULL && primary->up && receives (d, primary)
+          && (random == NULL || gm_random_below (random, 4) == 0))
+        receive_all (d, primary);
+      guint behind = d->log->len - d->applied;
+      if (random == NULL)
+        d->applied = d->log->len;
+      else if (behind > 0 && gm_random_below (random, 10) == 0)
+        d->applied += 1 + (guint)gm_random_below (random, behind);
+    }
+}
+
+gboolean
+md_append (MdGroup *g, GmTime now, MdDatabase *d, const GArray *writes)
+{
+  MdCommit *commit = g_new0 (MdCommit, 1);
+  commit->term = d->term;
+  commit->writes = g_array_copy ((GArray *)writes);
+  g_ptr_array_add (d->log, commit);
+  d->applied = d->log->len;
+  gboolean confirmed = FALSE;
+  for (guint i = 0; i < MD_DATABASES && !confirmed; i++)
+    {
+      MdDatabase *replica = &g->databases[(i + d->log->len) % MD_DATABASES];
+      if (!receives (replica, d))
+        continue;
+      receive_all (replica, d);
+      confirmed = TRUE;
+    }
+  for (guint i = 0; confirmed && i < writes->len; i++)
+    {
+      MdAck ack = { g_array_index (writes, guint64, i), now,
+                    md_position (d, d->log->len) };
+      g_array_append_val (g->acknowledged, ack);
+    }
+  return confirmed;
+}
+
+gboolean
+md_leads (const MdGroup *g, const MdDatabase *d)
+{
+  return d->primary && d->term == g->newest_term;
+}
+
+TkPoint
+md_acknowledged (const MdGroup *g, GmTime at)
+{
+  TkPoint highest = { 0, 0 };
+  for (guint i = 0; i < g->acknowledged->len; i++)
+    {
+      const MdAck *ack = &g_array_index (g->acknowledged, MdAck, i);
+      if (ack->at < at && tk_point_compare (ack->point, highest) > 0)
+        highest = ack->point;
+    }
+  return highest;
+}
+
+gboolean
+md_is_acknowledged (const MdGroup *g, guint64 uid)
+{
+  for (guint i = 0; i < g->acknowledged->len; i++)
+    if (g_array_index (g->acknowledged, MdAck, i).uid == uid)
+      return TRUE;
+  return FALSE;
+}
+
+gboolean
+md_kept (const MdGroup *g, guint64 uid)
+{
+  const MdDatabase *d = leader_of ((MdGroup *)g);
+  guint found = 0;
+  for (guint i = 0; d != NULL && i < d->log->len; i++)
+    {
+      const MdCommit *c = g_ptr_array_index (d->log, i);
+      for (guint j = 0; j < c->writes->len; j++)
+        found += g_array_index (c->writes, guint64, j) == uid ? 1 : 0;
+    }
+  if (found > 1)
+    md_broken ((MdGroup *)g, "a write took effect twice");
+  return found > 0;
+}
+
+gboolean
+md_promote (MdGroup *g, const char *id, const char *holder, guint64 token)
+{
+  if (token == g->fence && strcmp (holder, g->fence_holder) != 0)
+    md_broken (g, "two holders promote under the same token");
+  if (token < g->fence)
+    return FALSE;
+  g->fence = token;
+  g_strlcpy (g->fence_holder, holder, sizeof g->fence_holder);
+  MdDatabase *chosen = NULL;
+  for (guint i = 0; i < MD_DATABASES; i++)
+    if (strcmp (g->databases[i].id, id) == 0)
+      chosen = &g->databases[i];
+  if (chosen == NULL || !chosen->up)
+    return FALSE;
+  if (md_leads (g, chosen))
+    return TRUE;
+  g->newest_term = MAX (g->newest_term + 1, chosen->held);
+  chosen->primary = TRUE;
+  chosen->term = g->newest_term;
+  chosen->held = 0;
+  for (guint i = 0; i < MD_DATABASES; i++)
+    g->databases[i].deaf = FALSE;
+  chosen->applied = chosen->log->len;
+  for (guint i = 0; i < MD_DATABASES; i++)
+    if (&g->databases[i] != chosen)
+      {
+        g->databases[i].primary = FALSE;
+        g->databases[i].held = 0;
+      }
+  for (guint i = 0; i < g->acknowledged->len; i++)
+    if (!md_kept (g, g_array_index (g->acknowledged, MdAck, i).uid))
+      md_broken (g, "the promoted database lacks an acknowledged write");
+  return TRUE;
+}
+
+void
+md_crash (MdGroup *g, MdDatabase *d)
+{
+  (void)g;
+  d->up = FALSE;
+  d->held = 0;
+}
+
+void
+md_start (MdGroup *g, MdDatabase *d)
+{
+  d->up = TRUE;
+  d->incarnation++;
+  d->primary = d->primary && d->term == g->newest_term;
+}
+
+gboolean
+md_call (MdDatabase *d, FoCall call, guint64 term, FoDatabase *status)
+{
+  if (call == FO_CALL_SEAL && !d->primary)
+    d->held = MAX (d->held, term);
+  if (call == FO_CALL_UNSEAL)
+    d->held = 0;
+  TkPoint received = md_position (d, d->log->len);
+  *status = (FoDatabase){ .primary = d->primary,
+                          .term = d->term,
+                          .last_term = received.term,
+                          .received = received.position,
+                          .held = d->held };
+  return TRUE;
+}
--- a/tests/fuzz/model.c
+++ b/tests/fuzz/model.c
@@ -1,58 +1,6 @@
 #include "model.h"
 #include <string.h>
 
-static void
-commit_free (MdCommit *commit)
-{
-  g_array_unref (commit->writes);
-  g_free (commit);
-}
-
-static MdCommit *
-commit_copy (const MdCommit *commit)
-{
-  MdCommit *copy = g_new0 (MdCommit, 1);
-  copy->term = commit->term;
-  copy->writes = g_array_copy (commit->writes);
-  return copy;
-}
-
-void
-md_init (MdGroup *g, void (*violation) (const char *what))
-{
-  memset (g, 0, sizeof *g);
-  g->violation = violation;
-  g->newest_term = 1;
-  g->acknowledged = g_array_new (FALSE, FALSE, sizeof (MdAck));
-  for (guint i = 0; i < MD_DATABASES; i++)
-    {
-      MdDatabase *d = &g->databases[i];
-      g_snprintf (d->id, sizeof d->id, "db%u", i);
-      d->incarnation = 1;
-      d->up = TRUE;
-      d->primary = i == 0;
-      d->term = 1;
-      d->log = g_ptr_array_new_with_free_func ((GDestroyNotify)commit_free);
-    }
-  /* A group's log begins with one entry: position 0 says nothing.  */
-  for (guint i = 0; i < MD_DATABASES; i++)
-    {
-      MdCommit *first = g_new0 (MdCommit, 1);
-      first->term = 1;
-      first->writes = g_array_new (FALSE, FALSE, sizeof (guint64));
-      g_ptr_array_add (g->databases[i].log, first);
-      g->databases[i].applied = 1;
-    }
-}
-
-void
-md_clear (MdGroup *g)
-{
-  for (guint i = 0; i < MD_DATABASES; i++)
-    g_ptr_array_unref (g->databases[i].log);
-  g_array_unref (g->acknowledged);
-}
-
 MdConn *
 md_conn_new (void)
 {
@@ -74,115 +22,6 @@
   g_free (conn);
 }
 
-static void
-broken (MdGroup *g, const char *what)
-{
-  g->violations++;
-  g->violation (what);
-}
-
-TkPoint
-md_position (const MdDatabase *d, guint length)
-{
-  if (length == 0)
-    return (TkPoint){ 0, 0 };
-  const MdCommit *last = g_ptr_array_index (d->log, length - 1);
-  return (TkPoint){ last->term, length };
-}
-
-gboolean
-md_has (const MdDatabase *d, guint length, TkPoint point)
-{
-  if (point.position == 0)
-    return TRUE;
-  if (point.position > length)
-    return FALSE;
-  const MdCommit *at = g_ptr_array_index (d->log, point.position - 1);
-  return at->term == point.term;
-}
-
-static gboolean
-receives (const MdDatabase *d, const MdDatabase *primary)
-{
-  return d != primary && d->up && !d->primary && !d->deaf
-         && (d->held == 0 || primary->term >= d->held);
-}
-
-static guint
-common_length (const MdDatabase *a, const MdDatabase *b)
-{
-  guint most = MIN (a->log->len, b->log->len), n = 0;
-  while (n < most
-         && ((MdCommit *)g_ptr_array_index (a->log, n))->term
-                == ((MdCommit *)g_ptr_array_index (b->log, n))->term)
-    n++;
-  return n;
-}
-
-static void
-receive_all (MdDatabase *d, const MdDatabase *primary)
-{
-  guint same = common_length (d, primary);
-  g_ptr_array_set_size (d->log, (gint)same);
-  d->applied = MIN (d->applied, same);
-  for (guint i = same; i < primary->log->len; i++)
-    g_ptr_array_add (d->log,
-                     commit_copy (g_ptr_array_index (primary->log, i)));
-  d->term = primary->term;
-}
-
-static MdDatabase *
-leader_of (MdGroup *g)
-{
-  for (guint i = 0; i < MD_DATABASES; i++)
-    if (g->databases[i].primary && g->databases[i].term == g->newest_term)
-      return &g->databases[i];
-  return NULL;
-}
-
-void
-md_replicate (MdGroup *g, GmRandom *random)
-{
-  const MdDatabase *primary = leader_of (g);
-  for (guint i = 0; i < MD_DATABASES; i++)
-    {
-      MdDatabase *d = &g->databases[i];
-      if (primary != NULL && primary->up && receives (d, primary)
-          && gm_random_below (random, 4) == 0)
-        receive_all (d, primary);
-      if (d->applied < d->log->len && gm_random_below (random, 10) == 0)
-        d->applied
-            += 1 + (guint)gm_random_below (random, d->log->len - d->applied);
-    }
-}
-
-/* Appends the transaction of CONN at D; whether a replica has it.  */
-static gboolean
-append (MdGroup *g, GmTime now, MdDatabase *d, MdConn *conn)
-{
-  MdCommit *commit = g_new0 (MdCommit, 1);
-  commit->term = d->term;
-  commit->writes = g_array_copy (conn->writes);
-  g_ptr_array_add (d->log, commit);
-  d->applied = d->log->len;
-  gboolean confirmed = FALSE;
-  for (guint i = 0; i < MD_DATABASES && !confirmed; i++)
-    {
-      MdDatabase *replica = &g->databases[(i + d->log->len) % MD_DATABASES];
-      if (!receives (replica, d))
-        continue;
-      receive_all (replica, d);
-      confirmed = TRUE;
-    }
-  for (guint i = 0; confirmed && i < conn->writes->len; i++)
-    {
-      MdAck ack = { g_array_index (conn->writes, guint64, i), now,
-                    md_position (d, d->log->len) };
-      g_array_append_val (g->acknowledged, ack);
-    }
-  return confirmed;
-}
-
 static void
 end_transaction (MdConn *conn)
 {
@@ -192,12 +31,6 @@
   g_array_set_size (conn->writes, 0);
 }
 
-static gboolean
-leads (const MdGroup *g, const MdDatabase *d)
-{
-  return d->primary && d->term == g->newest_term;
-}
-
 static gboolean
 same_values (GHashTable *a, GHashTable *b)
 {
@@ -217,13 +50,14 @@
             gboolean inside, gboolean named)
 {
   if (!same_values (conn->values, s->values))
-    broken (g, "a statement ran under another session's values");
+    md_broken (g, "a statement ran under another session's values");
   if (s->shape != NULL && !named)
-    broken (g, "a prepared name runs another shape");
+    md_broken (g, "a prepared name runs another shape");
   if (conn->open && conn->owner != 0 && conn->owner != s->session)
-    broken (g, "a statement ran in another session's transaction");
+    md_broken (g, "a statement ran in another session's transaction");
   if (inside != conn->open)
-    broken (g, "a statement ran outside its transaction or in a foreign one");
+    md_broken (g,
+               "a statement ran outside its transaction or in a foreign one");
 }
 
 static void
@@ -248,7 +82,7 @@
 begin (const MdGroup *g, const MdDatabase *d, MdConn *conn,
        const PlAction *action, MdResult *result)
 {
-  if (action->begin == DP_BEGIN_WRITE && !leads (g, d))
+  if (action->begin == DP_BEGIN_WRITE && !md_leads (g, d))
     return GM_READ_ONLY;
   if (action->begin == DP_BEGIN_READ
       && !md_has (d, d->applied, action->request->after))
@@ -269,24 +103,24 @@
 {
   const PlRequest *r = action->request;
   gboolean single = !conn->open;
-  if (conn->open && !conn->read_only && !leads (g, d)
+  if (conn->open && !conn->read_only && !md_leads (g, d)
       && !(s->ends && conn->writes->len == 0))
     {
       conn->failed = TRUE;
       return GM_READ_ONLY;
     }
-  if (single && s->writes && !leads (g, d))
+  if (single && s->writes && !md_leads (g, d))
     return GM_READ_ONLY;
   if (single && !md_has (d, d->applied, r->after))
     return GM_LAGGING;
   if (conn->open && conn->owner == 0)
     conn->owner = s->session;
   if (!s->writes && !s->ends && !md_has (d, d->applied, s->required))
-    broken (g, "a read lacks a write that was acknowledged before it");
+    md_broken (g, "a read lacks a write that was acknowledged before it");
   if (s->writes)
     g_array_append_val (conn->writes, s->uid);
   gboolean commits = s->ends || (single && s->writes);
-  if (commits && conn->writes->len > 0 && !append (g, now, d, conn))
+  if (commits && conn->writes->len > 0 && !md_append (g, now, d, conn->writes))
     result->hangs = TRUE;
   if (commits)
     end_transaction (conn);
@@ -319,109 +153,3 @@
     end_transaction (conn);
   return result;
 }
-
-TkPoint
-md_acknowledged (const MdGroup *g, GmTime at)
-{
-  TkPoint highest = { 0, 0 };
-  for (guint i = 0; i < g->acknowledged->len; i++)
-    {
-      const MdAck *ack = &g_array_index (g->acknowledged, MdAck, i);
-      if (ack->at < at && tk_point_compare (ack->point, highest) > 0)
-        highest = ack->point;
-    }
-  return highest;
-}
-
-gboolean
-md_is_acknowledged (const MdGroup *g, guint64 uid)
-{
-  for (guint i = 0; i < g->acknowledged->len; i++)
-    if (g_array_index (g->acknowledged, MdAck, i).uid == uid)
-      return TRUE;
-  return FALSE;
-}
-
-gboolean
-md_kept (const MdGroup *g, guint64 uid)
-{
-  const MdDatabase *d = leader_of ((MdGroup *)g);
-  guint found = 0;
-  for (guint i = 0; d != NULL && i < d->log->len; i++)
-    {
-      const MdCommit *c = g_ptr_array_index (d->log, i);
-      for (guint j = 0; j < c->writes->len; j++)
-        found += g_array_index (c->writes, guint64, j) == uid ? 1 : 0;
-    }
-  if (found > 1)
-    broken ((MdGroup *)g, "a write took effect twice");
-  return found > 0;
-}
-
-gboolean
-md_promote (MdGroup *g, const char *id, const char *holder, guint64 token)
-{
-  if (token == g->fence && strcmp (holder, g->fence_holder) != 0)
-    broken (g, "two holders promote under the same token");
-  if (token < g->fence)
-    return FALSE;
-  g->fence = token;
-  g_strlcpy (g->fence_holder, holder, sizeof g->fence_holder);
-  MdDatabase *chosen = NULL;
-  for (guint i = 0; i < MD_DATABASES; i++)
-    if (strcmp (g->databases[i].id, id) == 0)
-      chosen = &g->databases[i];
-  if (chosen == NULL || !chosen->up)
-    return FALSE;
-  if (leads (g, chosen))
-    return TRUE;
-  g->newest_term = MAX (g->newest_term + 1, chosen->held);
-  chosen->primary = TRUE;
-  chosen->term = g->newest_term;
-  chosen->held = 0;
-  for (guint i = 0; i < MD_DATABASES; i++)
-    g->databases[i].deaf = FALSE;
-  chosen->applied = chosen->log->len;
-  for (guint i = 0; i < MD_DATABASES; i++)
-    if (&g->databases[i] != chosen)
-      {
-        g->databases[i].primary = FALSE;
-        g->databases[i].held = 0;
-      }
-  for (guint i = 0; i < g->acknowledged->len; i++)
-    if (!md_kept (g, g_array_index (g->acknowledged, MdAck, i).uid))
-      broken (g, "the promoted database lacks an acknowledged write");
-  return TRUE;
-}
-
-void
-md_crash (MdGroup *g, MdDatabase *d)
-{
-  (void)g;
-  d->up = FALSE;
-  d->held = 0;
-}
-
-void
-md_start (MdGroup *g, MdDatabase *d)
-{
-  d->up = TRUE;
-  d->incarnation++;
-  d->primary = d->primary && d->term == g->newest_term;
-}
-
-gboolean
-md_call (MdDatabase *d, FoCall call, guint64 term, FoDatabase *status)
-{
-  if (call == FO_CALL_SEAL && !d->primary)
-    d->held = MAX (d->held, term);
-  if (call == FO_CALL_UNSEAL)
-    d->held = 0;
-  TkPoint received = md_position (d, d->log->len);
-  *status = (FoDatabase){ .primary = d->primary,
-                          .term = d->term,
-                          .last_term = received.term,
-                          .received = received.position,
-                          .held = d->held };
-  return TRUE;
-}
--- /dev/null
+++ b/tests/platform.sh
@@ -0,0 +1,260 @@
+#!/usr/bin/env bash
+# Entry to database over platform/, with real processes and a stand-in for the
+# operators' platform.  Prints one line per case; exit status 0 only if all are
+# right.  No case depends on how fast things happen, only on what must come in
+# the end.
+set -u
+cd "$(dirname "$0")/.."
+trap '' PIPE
+. tests/cluster.sh
+passed=0 failed=0
+
+check () { # check NAME RESULT [DETAIL]
+  if [ "$2" = 0 ]; then passed=$((passed + 1)); echo "ok     $1"; else
+    failed=$((failed + 1)); echo "FAILED $1 ${3:-}"; fi
+}
+
+PLATFORM_PORT=60 # the platform's, and the three databases' after it
+control_port () { echo $((BASE + 20 + $1)); }
+caller_port () { echo $((BASE + 30 + $1)); }
+ready_port () { echo $((BASE + 40 + $1)); }
+seeds () {
+  local n comma=
+  for n in 1 2 3; do printf '%s"127.0.0.1:%s"' "$comma" "$((BASE + n))"; comma=,; done
+}
+
+# write_host NUMBER ROLE PLATFORM
+write_host () {
+  cat > "$DIR/host$1.json" <<END
+{
+  "host": "host$1", "data_centre": "dc$(( ($1 - 1) % 3 + 1 ))",
+  "cluster_key": "a key for loopback only",
+  "listen": {"link": "127.0.0.1:$((BASE + $1))"},
+  "roles": ["$2"],
+  "control": {"data": "$DIR/data$1", "seeds": [$(seeds)], "found": true, "voters_min": 3},
+  "log": {"file": "$DIR/host$1.log", "level": "info"},
+  "limits": {"drain_ms": 4000, "control_lease_ms": 0},
+  "platform": {$3}
+}
+END
+}
+write_control () {
+  write_host "$1" control "\"control\": \"127.0.0.1:$(control_port "$1")\", \"orders\": \"127.0.0.1:$((BASE + PLATFORM_PORT))\""
+}
+write_entry () {
+  write_host "$1" pool "\"callers\": \"127.0.0.1:$(caller_port "$1")\", \"ready\": \"127.0.0.1:$(ready_port "$1")\", \"close_idle_ms\": 300, \"end_transactions_ms\": 1500"
+}
+
+# http METHOD PORT PATH [BODY]: the status, then the body.
+http () {
+  local body=${4:-} line status= length=0
+  exec 9<>"/dev/tcp/127.0.0.1/$2" || return 1
+  printf '%s %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: %s\r\n\r\n%s' \
+    "$1" "$3" "${#body}" "$body" >&9
+  read -r -t 10 -u 9 line && status=${line#* } && status=${status%% *}
+  while read -r -t 10 -u 9 line && [ "${line%$'\r'}" != "" ]; do :; done
+  printf '%s\n%s\n' "$status" "$(cat <&9)"
+  exec 9>&-
+}
+route () { # route DATABASE TYPE
+  printf '{"name":"r-%s","database":"%s","pathPrefix":"/","routeType":"%s","timeoutMs":3000,"targetLatencyMs":100,"priority":0,"serviceName":"stock","maxAttempts":2,"maxStalenessMs":600}' "$1" "$1" "$2"
+}
+manifest () { # manifest VERSION ROUTE...
+  local version=$1 list comma=
+  shift
+  list=$(for r in "$@"; do printf '%s%s' "$comma" "$r"; comma=,; done)
+  printf '{"version":%s,"routes":[%s],"services":[{"name":"stock","maxConnections":40,"syncReplicas":1}],"limits":{"txIdleMs":3000}}' "$version" "$list"
+}
+ALL="$(route orders primary)
+$(route levels read_your_writes)
+$(route shelf bounded_staleness)"
+replace () { http POST "$(control_port "$1")" /api/config/replace "$2"; }
+fault () { http POST $((BASE + PLATFORM_PORT)) "/fault?database=$1&what=$2" >/dev/null; }
+state () { http GET $((BASE + PLATFORM_PORT)) /state; }
+primary () { state | sed -n 's/^\(db[0-9]*\) primary.*/\1/p'; }
+
+# A session on descriptor 3 to 5: open FD HOST DATABASE; ask FD TEXT puts the
+# answer, but for its READY line, into $answer and that line into $ready.
+serial=0
+expect () { # expect FD: reads up to READY
+  local line
+  answer= ready=
+  while read -r -t 10 -u "$1" line; do
+    line=${line%$'\r'}
+    case $line in READY*) ready=$line; return 0 ;; esac
+    answer="$answer$line|"
+  done
+  return 1
+}
+open () {
+  eval "exec $1<>/dev/tcp/127.0.0.1/$(caller_port "$2")" || return 1
+  printf 'START %s me\r\n' "$3" >&"$1"
+  expect "$1"
+}
+ask () {
+  serial=$((serial + 1))
+  printf 'QUERY id%s %s\r\n' "$serial" "$2" >&"$1"
+  expect "$1"
+}
+close () { eval "exec $1>&-"; }
+says () { # says FD TEXT PATTERN: the answer matches
+  ask "$1" "$2" && case $answer in $3) return 0 ;; *) return 1 ;; esac
+}
+# once HOST DATABASE TEXT PATTERN: on a session of its own
+once () {
+  local result
+  open 5 "$1" "$2" && says 5 "$3" "$4"
+  result=$?
+  close 5
+  return $result
+}
+
+pick_base || exit 1
+for n in 1 2 3; do write_control "$n"; start_host "$n"; done
+for n in 4 5 6; do write_entry "$n"; start_host "$n"; done
+"$BIN/galenamount-platform" --listen "127.0.0.1:$((BASE + PLATFORM_PORT))" \
+  --control "127.0.0.1:$(control_port 1)" --control "127.0.0.1:$(control_port 2)" \
+  --control "127.0.0.1:$(control_port 3)" >"$DIR/platform.out" 2>&1 &
+PID[platform]=$!
+
+mapfile -t routes <<<"$ALL"
+taken () { [ "$(replace "$1" "$(manifest "$2" "${routes[@]}")" | head -1)" = 200 ]; }
+eventually 20 taken 1 10
+check manifest-accepted $?
+ready () { [ "$(http GET "$(ready_port "$1")" /api/ready | head -1)" = 200 ]; }
+eventually 10 ready 4 && eventually 10 ready 5 && eventually 10 ready 6
+check entries-ready $?
+eventually 15 once 4 orders "WRITE a 1" "DONE sig.*"
+check write $? "$answer"
+eventually 5 once 5 orders "READ a" "ROW 1 *DONE sig.*"
+check primary-read-through-another-host $? "$answer"
+
+# A session's values and prepared names, carried over pooled connections.
+open 3 4 levels && says 3 "SET tz Almaty" "DONE -|" && says 3 "PREPARE s1 READ q" "DONE -|" \
+  && says 3 "PREPARE w1 WRITE q" "DONE -|" && says 3 "EXEC w1 b 7" "DONE sig.*" \
+  && says 3 "EXEC s1 b" "ROW 7 * values=1|DONE sig.*"
+check values-and-prepared-names $? "$answer"
+open 4 4 levels && says 4 "PREPARE s1 READ other" "DONE -|" && says 4 "EXEC s1 b" "ROW * values=0|DONE*" \
+  && says 3 "EXEC s1 b" "ROW 7 * values=1|DONE*" && says 3 "DEALLOC s1" "DONE -|" \
+  && says 3 "EXEC s1 b" "ERR MALFORMED*" && says 4 "EXEC s1 b" "ROW *"
+check sessions-do-not-mix $? "$answer"
+close 3; close 4
+
+# Transactions.
+open 3 5 orders && says 3 BEGIN "DONE -|" && says 3 "WRITE a 2" "DONE sig.*" \
+  && once 6 orders "READ a" "ROW 1 *" && says 3 COMMIT "DONE sig.*" && once 6 orders "READ a" "ROW 2 *"
+check transaction-commits $? "$answer"
+says 3 BEGIN "DONE -|" && says 3 "WRITE a 3" "DONE sig.*" && says 3 ROLLBACK "DONE -|" && says 3 "READ a" "ROW 2 *"
+check transaction-rolls-back $? "$answer"
+says 3 "BEGIN READ" "DONE -|" && says 3 "READ a" "ROW 2 *" && says 3 "WRITE a 4" "ERR READONLY*" \
+  && [ "${ready:6:1}" = E ] && says 3 "READ a" "ERR MALFORMED*" && says 3 ROLLBACK "DONE -|" && [ "${ready:6:1}" = I ]
+check read-transaction-refuses-writes $? "$answer $ready"
+close 3
+open 3 4 orders && says 3 BEGIN "DONE -|" && says 3 "WRITE a 9" "DONE sig.*"
+close 3
+eventually 5 once 5 orders "READ a" "ROW 2 *"
+check caller-leaves-in-mid-transaction $? "$answer"
+
+# Names and lines that are wrong: that connection alone ends.
+open 3 4 orders && says 3 "READ a" "ROW *"
+exec 4<>"/dev/tcp/127.0.0.1/$(caller_port 4)"
+printf 'START nowhere me\r\n' >&4
+IFS= read -r -t 10 -u 4 line
+[ "${line:0:8}" = "ERR NODB" ] && ! IFS= read -r -t 10 -u 4 line
+check unknown-database $? "$line"
+exec 4<>"/dev/tcp/127.0.0.1/$(caller_port 4)"
+printf 'HELLO\r\n' >&4
+IFS= read -r -t 10 -u 4 line
+case $line in "ERR MALFORMED"*HELLO*) true ;; *) false ;; esac
+check unknown-word $? "$line"
+says 3 "STATUS" "ERR MALFORMED*STATUS*" && says 3 "READ a" "ROW 2 *"
+check statement-for-databases-alone $? "$answer"
+close 3; close 4
+
+# A replica that lags is passed over; the session sees its own write.
+lagging=$(state | sed -n 's/^\(db[0-9]*\) replica.*/\1/p')
+for d in $lagging; do fault "$d" lag; done
+open 3 4 levels && says 3 "WRITE c 1" "DONE sig.*" && says 3 "READ c" "ROW 1 *" \
+  && says 3 "WRITE c 2" "DONE sig.*" && says 3 "READ c" "ROW 2 *"
+check own-writes-past-lagging-replicas $? "$answer"
+close 3
+for d in $lagging; do fault "$d" fresh; done
+
+# A commit whose answer is lost.
+fault "$(primary)" lose
+open 3 4 orders && says 3 "WRITE d 1" "ERR INDOUBT*"
+check lost-answer-is-in-doubt $? "$answer"
+close 3
+eventually 5 once 5 orders "READ d" "ROW 1 *"
+check lost-answer-was-kept $? "$answer"
+
+# A primary that crashes is replaced; what was acknowledged stays.
+old=$(primary)
+fault "$old" crash
+replaced () { [ -n "$(primary)" ] && [ "$(primary)" != "$1" ]; }
+eventually 20 replaced "$old"
+check crashed-primary-replaced $? "$(state)"
+eventually 10 once 5 orders "WRITE e 1" "DONE sig.*"
+check writes-after-failover $? "$answer"
+once 4 orders "READ a" "ROW 2 *"
+check acknowledged-writes-kept $? "$answer"
+fault "$old" start
+returned () { state | grep -q "^$old replica log=$(state | sed -n 's/.* primary log=\([0-9]*\).*/\1/p') "; }
+eventually 10 returned
+check old-primary-follows $? "$(state)"
+
+# A primary whose replicas don't hear it is replaced while it is reachable.
+eventually 10 once 5 orders "WRITE f 1" "DONE sig.*"
+old=$(primary)
+for d in db0 db1 db2; do [ "$d" = "$old" ] || fault "$d" deaf; done
+once 4 orders "WRITE f 2" "ERR INDOUBT*"
+eventually 20 replaced "$old"
+check deposed-primary-replaced $? "$(state)"
+for d in db0 db1 db2; do fault "$d" hear; done
+eventually 10 once 5 orders "WRITE f 3" "DONE sig.*" && once 4 orders "READ f" "ROW 3 *"
+check deposed-primary-shows-nothing-old $? "$answer"
+
+# A primary that leaves is replaced before it goes.
+old=$(primary)
+fault "$old" drain
+eventually 20 replaced "$old"
+check leaving-primary-replaced $? "$(state)"
+eventually 10 once 6 orders "WRITE g 1" "DONE sig.*"
+check writes-after-planned-change $? "$answer"
+
+# Manifests: the highest number wins, at any control host, and comes back.
+taken 2 10 && taken 3 9
+check resent-and-overtaken-manifests-acknowledged $?
+[ "$(replace 1 '{"version":99,"routes":[' | head -1)" = 400 ]
+check torn-manifest-refused $?
+now_reads () { http GET "$(control_port "$1")" /api/config/describe | grep -q "\"version\":$2,"; }
+now_reads 2 10
+check manifest-reads-back $?
+replace 2 "$(manifest 12 "$(route orders primary)")" | head -1 | grep -q 200
+check route-removed $?
+gone () { exec 4<>"/dev/tcp/127.0.0.1/$(caller_port 6)"; printf 'START levels me\r\n' >&4; IFS= read -r -t 10 -u 4 line; [ "${line:0:8}" = "ERR NODB" ]; }
+eventually 10 gone
+check removed-route-is-unknown $? "$line"
+eventually 10 now_reads 3 12
+check newest-manifest-everywhere $?
+
+# A planned stop in mid-transaction: the transaction may end, idle sessions are
+# closed without an error, the process ends by itself.
+open 3 4 orders && says 3 BEGIN "DONE -|" && says 3 "WRITE h 1" "DONE sig.*"
+open 4 4 orders && says 4 "READ a" "ROW *"
+signal host4 TERM
+says 3 "WRITE h 2" "DONE sig.*" && says 3 COMMIT "DONE sig.*"
+check stop-lets-transaction-end $? "$answer"
+! IFS= read -r -t 10 -u 4 line
+check stop-closes-idle-session $? "$line"
+wait "${PID[host4]}"
+check stopped-by-itself $?
+unset "PID[host4]"
+close 3; close 4
+eventually 10 once 5 orders "READ h" "ROW 2 *"
+check served-on-by-others $? "$answer"
+
+state | grep -q "violations=0"
+check no-promise-broken $? "$(state)"
+echo "$passed passed, $failed failed"
+[ "$failed" = 0 ]
