--- a/lib/session/router.c
+++ b/lib/session/router.c
@@ -19,8 +19,8 @@
 {
   GmTime wait;
   GmTime wait_at;
-  GmTime lag;   /* it lacked a position of that age; 0: it has kept up */
-  GmTime retry; /* between two tries while it lags */
+  GmTime lacked; /* the position of that time; 0: it has kept up */
+  GmTime retry;  /* between two tries while it lags */
   GmTime retry_at;
 } Estimate;
 
@@ -144,24 +144,24 @@
 
 void
 sr_note_lag (SrRouter *router, GmTime now, const char *id, gboolean lacks,
-             GmTime age)
+             GmTime at)
 {
   Estimate *e = estimate_of (router, id);
-  if (!lacks && age <= e->lag)
-    e->lag = 0;
-  if (!lacks || now < e->retry_at)
+  if (!lacks && at >= e->lacked)
+    e->lacked = 0;
+  if (!lacks || (e->lacked != 0 && now < e->retry_at))
     return;
-  e->retry = e->lag == 0 ? LAG_RETRY : MIN (2 * e->retry, LAG_RETRY_MAX);
-  e->lag = MAX (age, 1);
+  e->retry = e->lacked == 0 ? LAG_RETRY : MIN (2 * e->retry, LAG_RETRY_MAX);
+  e->lacked = at;
   e->retry_at = now + e->retry;
 }
 
-/* Whether a read that may show a state AGE old is worth a try there.  One
-   try at a time is made of a replica that is believed to lag.  */
+/* Whether a read that needs the position of the time AT is worth a try there:
+   an older one than that which the replica lacked, or one in a while.  */
 static gboolean
-has_probably (const Estimate *e, GmTime now, GmTime age)
+has_probably (const Estimate *e, GmTime now, GmTime at)
 {
-  return e == NULL || e->lag == 0 || age > e->lag || now >= e->retry_at;
+  return e == NULL || e->lacked == 0 || at < e->lacked || now >= e->retry_at;
 }
 
 gboolean
@@ -221,7 +221,7 @@
 
 const CsDatabase *
 sr_reader (const SrRouter *router, const CsState *state, GmTime now,
-           const char *name, GmTime age, const char *except)
+           const char *name, GmTime at, const char *except)
 {
   const Group *group = g_hash_table_lookup (router->groups, name);
   const CsDatabase *primary = sr_primary (router, state, name);
@@ -234,7 +234,7 @@
       const Estimate *estimate = g_hash_table_lookup (router->estimates, id);
       if (d == NULL || g_strcmp0 (id, except) == 0
           || (d->leaving && d != primary)
-          || (d != primary && !has_probably (estimate, now, age)))
+          || (d != primary && !has_probably (estimate, now, at)))
         continue;
       GmTime time = expected_time (router, now, d, d == primary);
       if (time < best_time)
--- a/lib/session/router.h
+++ b/lib/session/router.h
@@ -31,9 +31,9 @@
 /* The database ID would let a further statement wait for WAIT.  */
 void sr_note_wait (SrRouter *router, GmTime now, const char *id, GmTime wait);
 /* The replica ID answered a read that needed a position which the group's
-   primary had AGE ago: it has it, or LACKS it.  */
+   primary had AT a time: it has it, or LACKS it.  */
 void sr_note_lag (SrRouter *router, GmTime now, const char *id, gboolean lacks,
-                  GmTime age);
+                  GmTime at);
 
 /* The oldest position of GROUP that holds every write acknowledged before
    SINCE, and when it was taken; FALSE when none is known.  */
@@ -44,9 +44,9 @@
 /* The primary of GROUP, or NULL.  */
 const CsDatabase *sr_primary (const SrRouter *router, const CsState *state,
                               const char *group);
-/* The database of GROUP that is expected to answer a read first, which may
-   show a state AGE old; EXCEPT, or NULL, is not chosen.  NULL when there is
-   none.  */
+/* The database of GROUP that is expected to answer a read first, which
+   needs the position that the primary had AT a time; EXCEPT, or NULL, is not
+   chosen.  NULL when there is none.  */
 const CsDatabase *sr_reader (const SrRouter *router, const CsState *state,
-                             GmTime now, const char *group, GmTime age,
+                             GmTime now, const char *group, GmTime at,
                              const char *except);
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -308,7 +308,7 @@
   if (call->to_primary)
     return sr_primary (world->router, world->state, s->group);
   return sr_reader (world->router, world->state, world->now, s->group,
-                    world->now - call->after_at, call->except);
+                    call->after_at, call->except);
 }
 
 static const CfService *
@@ -563,7 +563,7 @@
   if (call->after.position > 0
       && (done->kind == GM_OK || done->kind == GM_LAGGING))
     sr_note_lag (world->router, now, call->database, done->kind == GM_LAGGING,
-                 now - call->after_at);
+                 call->after_at);
 }
 
 /* Follows the transaction as the pool tells of it.  */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -259,14 +259,14 @@
     }
 }
 
-/* What a caller hears of each kind.  A promise may be given only for kinds that
-   say "not run".  */
+/* What a caller hears of each kind.  A promise may be given only for kinds
+   that say "not run".  */
 static void
 test_codes (void)
 {
   static const char *const promises[]
-      = { "BUSY",     "ABORTED",   "LAGGING", "READONLY",
-          "WRONGNODE", "TOOMANY",  "NODB",    "MALFORMED" };
+      = { "BUSY",      "ABORTED", "LAGGING", "READONLY",
+          "WRONGNODE", "TOOMANY", "NODB",    "MALFORMED" };
   for (int i = 1; i < GM_KIND_COUNT; i++)
     {
       const char *code = ln_code ((GmKind)i);
@@ -319,8 +319,9 @@
   { MANIFEST (ROUTE ("a", "primary", ",\"timeoutMs\":5") "," ROUTE (
         "a", "primary", ",\"timeoutMs\":5")),
     "stands twice" },
-  { "{\"version\":1,\"routes\":[" ROUTE ("a", "primary", ",\"timeoutMs\":5")
-        "],\"services\":[{\"name\":\"other\"}]}",
+  { "{\"version\":1,\"routes\":[" ROUTE (
+        "a", "primary",
+        ",\"timeoutMs\":5") "],\"services\":[{\"name\":\"other\"}]}",
     "\"s\" is not listed" },
 };
 
@@ -343,12 +344,19 @@
 static void
 test_manifest (void)
 {
-  static const char text[] = MANIFEST (
-      ROUTE ("a", "primary", ",\"timeoutMs\":800") ","
-      ROUTE ("b", "bounded_staleness",
-             ",\"timeoutMs\":1200,\"maxStalenessMs\":1500") ","
-      ROUTE ("c", "read_your_writes",
-             ",\"timeoutMs\":900,\"maxStalenessMs\":2500"));
+  static const char text[]
+      = MANIFEST (ROUTE ("a", "primary", ",\"timeoutMs\":800") "," ROUTE (
+          "b", "bounded_staleness",
+          ",\"timeoutMs\":1200,\"maxStalenessMs\":1500") "," ROUTE ("c",
+                                                                    "read_"
+                                                                    "your_"
+                                                                    "writes",
+                                                                    ",\"timeou"
+                                                                    "tMs\":"
+                                                                    "900,"
+                                                                    "\"maxStal"
+                                                                    "enessMs\""
+                                                                    ":2500"));
   GmStatus status;
   guint64 number;
   g_autoptr (GBytes) own
@@ -451,8 +459,8 @@
   guint hits = (guint)gm_random_below (random, 4);
   for (guint i = 0; i < hits; i++)
     copy[gm_random_below (random, n)] = (char)gm_random_below (random, 256);
-  *length = gm_random_below (random, 3) == 0 ? gm_random_below (random, n + 1)
-                                             : n;
+  *length
+      = gm_random_below (random, 3) == 0 ? gm_random_below (random, n + 1) : n;
   return copy;
 }
 
