--- a/lib/failover/takeover.c
+++ b/lib/failover/takeover.c
@@ -12,8 +12,7 @@
   guint64 silent; /* ms */
   guint64 stuck;  /* ms */
   guint64 open;
-  guint64 acked_term; /* the highest position that its pool knows of */
-  guint64 acked_number;
+  guint64 acked_term; /* of the last write that its pool saw acknowledged */
   /* The leader's own calls.  */
   GmTime asked;
   GmTime ask_at;
@@ -165,13 +164,7 @@
   seen->silent = m->silent;
   seen->stuck = m->stuck;
   seen->open = m->open;
-  if (m->last_term > seen->acked_term
-      || (m->last_term == seen->acked_term
-          && m->received > seen->acked_number))
-    {
-      seen->acked_term = m->last_term;
-      seen->acked_number = m->received;
-    }
+  seen->acked_term = MAX (seen->acked_term, m->last_term);
 }
 
 void
@@ -441,40 +434,28 @@
   return 0;
 }
 
-/* Whether STATUS holds every write that the pool of the replaced primary saw
-   acknowledged.  */
-static gboolean
-holds_acknowledged (ToCore *core, const CsGroup *group,
-                    const FoDatabase *status)
-{
-  const Seen *old = g_hash_table_lookup (core->seen, group->avoid);
-  FoDatabase acked = { 0 };
-  if (old == NULL || old->acked_number == 0)
-    return FALSE;
-  acked.last_term = old->acked_term;
-  acked.received = old->acked_number;
-  return compare_positions (status, &acked) >= 0;
-}
-
-/* Seals what is not sealed yet; stores how many of REPLICAS are not, and the
-   best of the sealed ones in BEST.  */
+/* Seals what is not sealed yet; returns how many are, and the best of them in
+   BEST.  The replaced primary can be sealed only once it is a replica.  */
 static guint
-seal (ToCore *core, GmTime now, const CsGroup *group, const Group *own,
-      const GPtrArray *replicas, const CsDatabase **best)
+seal (ToCore *core, GmTime now, const CsState *state, const CsGroup *group,
+      const Group *own, const CsDatabase **best)
 {
-  guint missing = 0;
+  guint sealed = 0;
+  g_autoptr (GPtrArray) all = databases_of (state, group->group, NULL);
   *best = NULL;
-  for (guint i = 0; i < replicas->len; i++)
+  for (guint i = 0; i < all->len; i++)
     {
-      const CsDatabase *d = g_ptr_array_index (replicas, i);
+      const CsDatabase *d = g_ptr_array_index (all, i);
       Seen *seen = seen_of (core, d->id);
+      gboolean old = strcmp (d->id, group->avoid) == 0;
       if (!is_sealed (seen, group->term))
         {
-          missing++;
-          if (may_call (seen, now))
+          if (may_call (seen, now)
+              && (!old || now >= own->sealing_since + TO_OLD_GRACE))
             call (core, now, own, d, FO_CALL_SEAL, group->term);
           continue;
         }
+      sealed++;
       if (*best == NULL)
         {
           *best = d;
@@ -487,7 +468,7 @@
       if (order > 0 || (order == 0 && (*best)->leaving && !d->leaving))
         *best = d;
     }
-  return missing;
+  return sealed;
 }
 
 static void
@@ -522,19 +503,13 @@
   if (old != NULL && old->leaving && last->reachable && last->open > 0
       && now < own->sealing_since + TO_LEAVE_GRACE)
     return;
-  g_autoptr (GPtrArray) replicas
-      = databases_of (state, group->group, group->avoid);
   const CsDatabase *best;
-  guint missing = seal (core, now, group, own, replicas, &best);
-  guint copies = cs_copies (state, group->group);
-  if (copies > 0 && replicas->len + 1 < copies)
-    missing = MAX (missing, copies - 1 - replicas->len);
+  guint sealed = seal (core, now, state, group, own, &best);
   if (best == NULL)
     return;
-  const FoDatabase *status = &seen_of (core, best->id)->status;
-  gboolean patient = now < own->sealing_since + TO_SEAL_PATIENCE;
-  if (missing > 0 && !GM_MUTANT (SEAL_ONE)
-      && (patient || !holds_acknowledged (core, group, status)))
+  /* A write that was acknowledged stands on two copies: on one at least of all
+     copies but one.  */
+  if (sealed + 1 < cs_copies (state, group->group) && !GM_MUTANT (SEAL_ONE))
     return;
   choose (core, now, when, group, own, best);
 }
--- a/lib/failover/takeover.h
+++ b/lib/failover/takeover.h
@@ -35,10 +35,11 @@
 #define TO_CALL_RETRY (50 * GM_MS)
 #define TO_ORDER_TIME (1500 * GM_MS) /* the platform may be slow */
 #define TO_ORDER_RETRY (300 * GM_MS)
-#define TO_SEAL_PATIENCE (5 * GM_SECOND) /* for a replica that is away */
 /* After a promotion, for the new primary and its replicas to find each other.
  */
 #define TO_SETTLE_GRACE (2 * GM_SECOND)
+#define TO_OLD_GRACE                                                          \
+  (500 * GM_MS) /* before the old primary is asked to seal */
 #define TO_SPACING (1 * GM_SECOND) /* between two terms of a group */
 #define TO_PROPOSE_RETRY (300 * GM_MS)
 
