--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -286,6 +286,8 @@
 static void
 send_delta (CoCore *core, Subscriber *s)
 {
+  if (s->sent + CO_STATE_BEHIND < core->state->version)
+    send_state (core, s);
   while (s->sent < core->state->version)
     {
       g_autoptr (GBytes) list
--- a/lib/control/control.h
+++ b/lib/control/control.h
@@ -12,6 +12,9 @@
 #include "failover/members.h"
 #include "failover/takeover.h"
 
+/* A subscriber that is this many entries behind gets the state as it is: it
+   would parse each configuration since.  */
+#define CO_STATE_BEHIND 32
 #define CO_EXPIRE (100 * GM_MS) /* between two looks for the silent */
 
 typedef struct CoCore CoCore;
--- a/lib/control/subscriber.c
+++ b/lib/control/subscriber.c
@@ -134,7 +134,7 @@
 {
   if (!core->up || now < core->beat_at)
     return FALSE;
-  core->beat_at = now + SB_BEAT;
+  core->beat_at = now + (core->fenced ? SB_BEAT_FENCED : SB_BEAT);
   return TRUE;
 }
 
--- a/lib/control/subscriber.h
+++ b/lib/control/subscriber.h
@@ -18,6 +18,7 @@
 /* Then another control host is tried: four heartbeats without a stamp.  */
 #define SB_STAMP_STALE (800 * GM_MS)
 #define SB_BEAT (200 * GM_MS)
+#define SB_BEAT_FENCED (50 * GM_MS) /* while callers wait for a stamp */
 #define SB_REDIAL (100 * GM_MS)
 
 typedef enum
