--- a/lib/pool/core.h
+++ b/lib/pool/core.h
@@ -44,6 +44,8 @@
   GPtrArray *free;          /* PlConn *, idle, the last used at the end */
   GHashTable *transactions; /* id -> PlTransaction */
   GPtrArray *running;       /* PlRequest * */
+  guint overdue;            /* of them */
+  guint64 answered;         /* statements, ever */
   guint opening;
   GmTime connect_after;
   GmTime connect_backoff;
--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -153,6 +153,13 @@
             "the connection was lost while the read ran");
 }
 
+static void
+stop_running (PlCore *core, PlRequest *request)
+{
+  g_ptr_array_remove_fast (core->running, request);
+  core->overdue -= request->overdue ? 1 : 0;
+}
+
 static void
 end_transaction (PlCore *core, PlTransaction *transaction)
 {
@@ -188,6 +195,8 @@
   conn->request = request;
   request->base.connection = conn;
   request->base.started = now;
+  request->others = core->answered;
+  request->overdue = FALSE;
   g_ptr_array_add (core->running, request);
   PlAction *action = pl_push (core, PL_RUN, conn->id, request);
   pl_bring_state (conn, request, action);
@@ -236,7 +245,8 @@
 pl_schedule (PlCore *core, GmTime now)
 {
   drop_late (core, now, FALSE);
-  while (core->running->len < pl_in_flight_max (core) && core->free->len > 0)
+  while (core->running->len - core->overdue < pl_in_flight_max (core)
+         && core->free->len > 0)
     {
       DpRequest *next = dq_take (core->queue, can_run, core);
       if (next == NULL)
@@ -281,7 +291,7 @@
   conn->request = NULL;
   if (request != NULL)
     {
-      g_ptr_array_remove_fast (core->running, request);
+      stop_running (core, request);
       answer_lost (core, request);
     }
   if (transaction != NULL)
@@ -431,7 +441,8 @@
   if (conn == NULL || conn->request == NULL)
     return;
   PlRequest *request = conn->request;
-  g_ptr_array_remove_fast (core->running, request);
+  stop_running (core, request);
+  core->answered++;
   if (outcome->kind == GM_OK && request->operation != PL_LEAD)
     learn_times (core, now, request);
   note_lead (core, request, outcome);
@@ -489,6 +500,34 @@
     }
 }
 
+static gboolean
+is_overdue (const PlCore *core, GmTime now, const PlRequest *request)
+{
+  GmTime usual = cost_of (core, request);
+  return now >= request->base.started + PL_OVERDUE + PL_OVERDUE_COSTS * usual
+         && core->answered >= request->others + PL_OVERDUE_OTHERS;
+}
+
+/* A lost answer holds no slot at the database, and must hold none here.  A
+   read may run again elsewhere; the rest is waited for.  */
+static void
+watch_overdue (PlCore *core, GmTime now)
+{
+  for (guint i = core->running->len; i-- > 0;)
+    {
+      PlRequest *request = g_ptr_array_index (core->running, i);
+      if (request->overdue || !is_overdue (core, now, request))
+        continue;
+      if (request->operation == PL_READ || request->operation == PL_LEAD)
+        {
+          lose_request (core, now, request->base.connection);
+          continue;
+        }
+      request->overdue = TRUE;
+      core->overdue++;
+    }
+}
+
 static void
 expire_transactions (PlCore *core, GmTime now)
 {
@@ -510,6 +549,7 @@
 pl_tick (PlCore *core, GmTime now)
 {
   expire_running (core, now);
+  watch_overdue (core, now);
   expire_transactions (core, now);
   drop_late (core, now, TRUE);
   pl_keep_warm (core, now);
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -14,7 +14,14 @@
 #pragma once
 #include "dispatch/dispatch.h"
 
-#define PL_ANSWER_GRACE (20 * GM_MS)   /* DP_ANSWER_GRACE's reason */
+#define PL_ANSWER_GRACE (20 * GM_MS) /* DP_ANSWER_GRACE's reason */
+/* A statement is overdue when it has run for so long, and for so many times
+   its service's usual time more, while so many others were answered: its
+   answer was lost on the way.  The longest statements seen take 8 times the
+   usual time. */
+#define PL_OVERDUE (40 * GM_MS)
+#define PL_OVERDUE_COSTS 8
+#define PL_OVERDUE_OTHERS 6
 #define PL_CONNECTING_MAX 4            /* as DP_CONNECTING_MAX */
 #define PL_CONNECT_RETRY (100 * GM_MS) /* as DP_CONNECT_RETRY */
 #define PL_CONNECT_RETRY_MAX GM_SECOND /* as DP_CONNECT_RETRY_MAX */
@@ -50,6 +57,10 @@
   char *arguments;
   GPtrArray *values; /* names and values in turn, sorted by name */
 
+  /* Kept by the pool.  */
+  guint64 others;   /* answered when it was sent */
+  gboolean overdue; /* takes no slot any more */
+
   /* The answer.  */
   GmKind kind;
   char message[GM_MESSAGE_MAX];
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -16,6 +16,7 @@
   GPtrArray *answers; /* PlRequest * */
   guint opened;
   guint closed;
+  guint runs;
   guint writes; /* of the runs */
 } Bench;
 
@@ -40,6 +41,7 @@
         pl_action_clear (&b->run);
         b->run = action;
         b->run_on = action.connection;
+        b->runs++;
         b->writes += action.request->operation == PL_WRITE ? 1 : 0;
         break;
       }
@@ -48,7 +50,8 @@
 static Bench
 bench_new (guint connections)
 {
-  static const DpPolicy policy = { .order = DQ_FLOORS, .admission = TRUE };
+  static const DpPolicy policy
+      = { .order = DQ_FLOORS, .admission = TRUE, .extra = 1 };
   Bench b = { .core = pl_new (&policy),
               .now = START,
               .service = { .name = (char *)"s", .rank = CF_URGENT } };
@@ -319,6 +322,52 @@
   bench_free (&b);
 }
 
+/* Answers that are lost on their way: they must hold no place, and a read runs
+   again elsewhere at once.  */
+static const struct
+{
+  PlOperation operation;
+  guint others;
+  GmTime runs;
+  gboolean answered; /* as unavailable, for another try */
+  gboolean place;    /* it still holds one */
+} overdue[] = {
+  { PL_READ, 10, 20 * GM_MS, FALSE, TRUE },
+  { PL_READ, 2, 400 * GM_MS, FALSE, TRUE },
+  { PL_READ, 10, 400 * GM_MS, TRUE, FALSE },
+  { PL_WRITE, 10, 400 * GM_MS, FALSE, FALSE },
+  { PL_WRITE, 2, 400 * GM_MS, FALSE, TRUE },
+};
+
+static void
+test_overdue (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (overdue); i++)
+    {
+      Bench b = bench_new (40);
+      PlRequest *r = request (&b, overdue[i].operation, 0);
+      submit (&b, r);
+      for (guint j = 0; j < overdue[i].others; j++)
+        {
+          submit (&b, request (&b, PL_READ, 0));
+          DpOutcome outcome = { .kind = GM_OK };
+          b.now += GM_MS;
+          pl_done (b.core, b.now, b.run_on, &outcome);
+          take_actions (&b);
+        }
+      b.now = START + overdue[i].runs;
+      pl_tick (b.core, b.now);
+      take_actions (&b);
+      g_assert_cmpint (b.closed > 0, ==, overdue[i].answered);
+      /* How many more can run now.  */
+      guint before = b.runs;
+      for (guint j = 0; j < 8; j++)
+        submit (&b, request (&b, PL_READ, 0));
+      g_assert_cmpuint (b.runs - before, ==, overdue[i].place ? 2 : 3);
+      bench_free (&b);
+    }
+}
+
 static void
 test_given_up (void)
 {
@@ -376,6 +425,7 @@
   g_test_add_func ("/pool/rollback", test_rollback_keeps_connection);
   g_test_add_func ("/pool/lead", test_lead);
   g_test_add_func ("/pool/flood", test_flood);
+  g_test_add_func ("/pool/overdue", test_overdue);
   g_test_add_func ("/pool/given-up", test_given_up);
   g_test_add_func ("/pool/health", test_health);
   return g_test_run ();
