--- a/daemon/subscription.c
+++ b/daemon/subscription.c
@@ -37,6 +37,12 @@
   return sb_is_fresh (s->core, daemon_now (s->daemon));
 }
 
+gboolean
+subscription_is_cut_off (const Subscription *s)
+{
+  return sb_is_cut_off (s->core, daemon_now (s->daemon));
+}
+
 static void
 address_free (CfAddress *address)
 {
--- a/daemon/subscription.h
+++ b/daemon/subscription.h
@@ -8,6 +8,8 @@
 const CsState *subscription_state (const Subscription *subscription);
 /* Whether the copy is known to be current, so that work may be taken.  */
 gboolean subscription_is_fresh (const Subscription *subscription);
+/* Whether this host has been without news from control for a while.  */
+gboolean subscription_is_cut_off (const Subscription *subscription);
 /* Tells the control hosts at once, as after a drain began.  */
 void subscription_beat (Subscription *subscription);
 /* Sends towards the leader; FALSE when there is no link to a control host.  */
--- a/lib/base/mutant.h
+++ b/lib/base/mutant.h
@@ -36,6 +36,7 @@
   X (VALUES_KEPT, "a connection keeps another session's values")              \
   X (LEAD_UNPROVED, "a read trusts a primary that may have been replaced")    \
   X (TOKEN_SHARED, "a leader orders under its predecessor's token")           \
+  X (UNSEAL_EARLY, "replicas hear the old primary before the new one leads")  \
   X (OLD_SAMPLE, "a read's position may be older than its age bound")
 
 typedef enum
--- a/lib/control/subscriber.c
+++ b/lib/control/subscriber.c
@@ -61,6 +61,12 @@
   return core->peer;
 }
 
+gboolean
+sb_is_cut_off (const SbCore *core, GmTime now)
+{
+  return now > core->stamp + SB_CUT_OFF;
+}
+
 GmTime
 sb_age (const SbCore *core, GmTime now)
 {
--- a/lib/failover/takeover.c
+++ b/lib/failover/takeover.c
@@ -385,13 +385,25 @@
 }
 
 /* Tells the replicas of a settled group to receive again: one that was sealed
-   for a choice that came to nothing would stay behind for ever.  */
+   for a choice that came to nothing would stay behind for ever.  An order that
+   was taken has not taken effect yet: until the chosen database says that it
+   leads, the replicas would still receive from the old one.  */
 static void
 unseal (ToCore *core, GmTime now, const CsState *state, const CsGroup *group,
-        Group *own)
+        const CsDatabase *primary, Group *own)
 {
-  if (own->unsealed_term == group->term || own->sealing_term != group->term)
+  if (primary == NULL || own->unsealed_term == group->term
+      || own->sealing_term != group->term)
     return;
+  Seen *chosen = seen_of (core, primary->id);
+  /* It was a replica when it was sealed.  */
+  gboolean leads = chosen->known && chosen->status.primary;
+  if (!leads && !GM_MUTANT (UNSEAL_EARLY))
+    {
+      if (may_call (chosen, now))
+        call (core, now, own, primary, FO_CALL_STATUS, 0);
+      return;
+    }
   g_autoptr (GPtrArray) others
       = databases_of (state, group->group, group->primary);
   own->unsealed_term = group->term;
@@ -406,7 +418,7 @@
 {
   const CsDatabase *primary
       = g_hash_table_lookup (state->databases, group->primary);
-  unseal (core, now, state, group, own);
+  unseal (core, now, state, group, primary, own);
   const char *reason = suspicion (core, now, state, own, primary);
   if (reason == NULL)
     return;
--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -406,6 +406,8 @@
   gboolean wrote
       = request->operation == PL_WRITE || request->operation == PL_COMMIT;
   core->heard = now;
+  if (wrote)
+    core->wrote = now;
   if (outcome->kind == GM_OK && wrote
       && tk_point_compare (outcome->point, core->acked) > 0)
     core->acked = outcome->point;
@@ -585,6 +587,7 @@
 pl_stalled (PlCore *core, GmTime span)
 {
   core->heard += span;
+  core->wrote += span;
   for (guint i = 0; i < core->running->len; i++)
     ((PlRequest *)g_ptr_array_index (core->running, i))->base.started += span;
 }
@@ -607,7 +610,10 @@
   GmTime silent = waits == G_MAXINT64 ? 0 : now - MAX (waits, core->heard);
   health->reachable = up > 0 && silent < TO_SILENT;
   health->silent = (guint64)(MAX (silent, 0) / GM_MS);
-  health->stuck = (guint64)((now - writes) / GM_MS);
+  /* One write without an answer is a lost answer; none at all is a primary
+     that nobody confirms.  */
+  health->stuck
+      = (guint64)((now - MIN (MAX (writes, core->wrote), now)) / GM_MS);
   health->open = core->running->len + g_hash_table_size (core->transactions);
   health->acked = core->acked;
 }
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -327,8 +327,9 @@
   gboolean over = s->call.attempts >= SN_ATTEMPTS_MAX;
   if (kind == GM_READ_ONLY || kind == GM_UNAVAILABLE)
     {
+      /* News of another primary would not come here.  */
       at = world->now + SN_HOLD_RETRY;
-      over = at >= s->call.arrived + SN_HOLD;
+      over = world->cut_off || at >= s->call.arrived + SN_HOLD;
     }
   if (over || at >= s->call.deadline)
     {
--- a/lib/session/session.h
+++ b/lib/session/session.h
@@ -96,6 +96,7 @@
   GmTime now;
   const CsState *state;
   SrRouter *router;
+  gboolean cut_off; /* the state may be old: another host may serve */
 } SnWorld;
 
 /* A session that asked for the service SERVICE.  */
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -517,29 +517,38 @@
 typedef struct
 {
   Platform *platform;
-  SoupServerMessage *msg;
   char *id;
-  char *holder;
   guint64 token;
 } Order;
 
+/* The answer says that an order was taken; it takes effect here.  */
 static gboolean
 promote (gpointer data)
 {
   Order *order = data;
   Platform *p = order->platform;
-  gboolean good
-      = md_promote (&p->group, order->id, order->holder, order->token);
-  p->promotions += good ? 1 : 0;
-  soup_server_message_set_status (order->msg, good ? 200 : 409, NULL);
-  soup_server_message_unpause (order->msg);
-  g_object_unref (order->msg);
+  if (md_promote (&p->group, order->id, order->token))
+    p->promotions++;
   g_free (order->id);
-  g_free (order->holder);
   g_free (order);
   return G_SOURCE_REMOVE;
 }
 
+static void
+take_order (Platform *p, SoupServerMessage *msg, const char *id,
+            const char *holder, guint64 token)
+{
+  gboolean good = md_take_order (&p->group, id, holder, token);
+  soup_server_message_set_status (msg, good ? 200 : 409, NULL);
+  if (!good)
+    return;
+  Order *order = g_new0 (Order, 1);
+  order->platform = p;
+  order->id = g_strdup (id);
+  order->token = token;
+  g_timeout_add (PROMOTE_MS, promote, order);
+}
+
 static void
 on_promotion (SoupServer *server, SoupServerMessage *msg, const char *path,
               GHashTable *query, gpointer data)
@@ -564,16 +573,8 @@
   if (id == NULL || holder == NULL || token == NULL)
     soup_server_message_set_status (msg, 400, NULL);
   else
-    {
-      Order *order = g_new0 (Order, 1);
-      order->platform = data;
-      order->msg = g_object_ref (msg);
-      order->id = g_strdup (json_object_get_string (id));
-      order->holder = g_strdup (holder);
-      order->token = g_ascii_strtoull (token, NULL, 10);
-      soup_server_message_pause (msg);
-      g_timeout_add (PROMOTE_MS, promote, order);
-    }
+    take_order (data, msg, json_object_get_string (id), holder,
+                g_ascii_strtoull (token, NULL, 10));
   json_object_put (body);
 }
 
--- a/standin/replicas.c
+++ b/standin/replicas.c
@@ -207,8 +207,17 @@
   return found > 0;
 }
 
+static MdDatabase *
+find_database (MdGroup *g, const char *id)
+{
+  for (guint i = 0; i < MD_DATABASES; i++)
+    if (strcmp (g->databases[i].id, id) == 0)
+      return &g->databases[i];
+  return NULL;
+}
+
 gboolean
-md_promote (MdGroup *g, const char *id, const char *holder, guint64 token)
+md_take_order (MdGroup *g, const char *id, const char *holder, guint64 token)
 {
   if (token == g->fence && strcmp (holder, g->fence_holder) != 0)
     md_broken (g, "two holders promote under the same token");
@@ -216,11 +225,15 @@
     return FALSE;
   g->fence = token;
   g_strlcpy (g->fence_holder, holder, sizeof g->fence_holder);
-  MdDatabase *chosen = NULL;
-  for (guint i = 0; i < MD_DATABASES; i++)
-    if (strcmp (g->databases[i].id, id) == 0)
-      chosen = &g->databases[i];
-  if (chosen == NULL || !chosen->up)
+  const MdDatabase *chosen = find_database (g, id);
+  return chosen != NULL && chosen->up;
+}
+
+gboolean
+md_promote (MdGroup *g, const char *id, guint64 token)
+{
+  MdDatabase *chosen = find_database (g, id);
+  if (token < g->fence || chosen == NULL || !chosen->up)
     return FALSE;
   if (md_leads (g, chosen))
     return TRUE;
--- a/standin/replicas.h
+++ b/standin/replicas.h
@@ -64,9 +64,12 @@
                     const GArray *writes);
 /* Replicas receive, and apply all or some; RANDOM NULL: everything.  */
 void md_replicate (MdGroup *group, GmRandom *random);
-/* Orders the promotion of ID; FALSE when it is refused.  */
-gboolean md_promote (MdGroup *group, const char *id, const char *holder,
-                     guint64 token);
+/* Whether the promotion of ID is taken; it takes effect with md_promote, some
+   time later.  */
+gboolean md_take_order (MdGroup *group, const char *id, const char *holder,
+                        guint64 token);
+/* Carries out the promotion of ID; FALSE when it was overtaken.  */
+gboolean md_promote (MdGroup *group, const char *id, guint64 token);
 void md_crash (MdGroup *group, MdDatabase *d);
 void md_start (MdGroup *group, MdDatabase *d);
 /* The highest position acknowledged before AT.  */
--- a/tests/fuzz/sessions.c
+++ b/tests/fuzz/sessions.c
@@ -760,6 +760,17 @@
   return NULL;
 }
 
+/* The answer to an order says that it was taken; it takes effect later.  */
+static void
+promote (World *w, gpointer data)
+{
+  Duty *duty = data;
+  if (md_promote (&w->group, duty->action.id, duty->action.token))
+    w->promotions++;
+  to_action_clear (&duty->action);
+  g_free (duty);
+}
+
 static void
 duty_done (World *w, gpointer data)
 {
@@ -781,8 +792,14 @@
       /* An order without an answer may still be carried out.  */
       gboolean runs = !lost || chance (w, 500);
       gboolean good
-          = runs && md_promote (&w->group, a->id, duty->holder, a->token);
-      w->promotions += good ? 1 : 0;
+          = runs && md_take_order (&w->group, a->id, duty->holder, a->token);
+      if (good)
+        {
+          Duty *effect = g_new0 (Duty, 1);
+          effect->action
+              = (ToAction){ .id = g_strdup (a->id), .token = a->token };
+          at (w, w->now + delay (w, 400 * GM_MS), promote, effect);
+        }
       if (duty->round == w->round)
         to_ordered (w->leader, w->now, a->group, a->token,
                     lost   ? TO_UNKNOWN
@@ -913,6 +930,14 @@
   to_lead (w->leader, w->now, w->round);
 }
 
+static void
+hear_again (World *w, gpointer data)
+{
+  (void)data;
+  for (guint i = 0; i < MD_DATABASES; i++)
+    w->group.databases[i].deaf = FALSE;
+}
+
 static void
 injure (World *w)
 {
@@ -927,10 +952,14 @@
     crash_database (w, d);
   if (chance (w, 5))
     d->deaf = !d->deaf;
-  /* The primary is cut off from all replicas, and still reached by pools.  */
+  /* The primary is cut off from all replicas, and still reached by pools; they
+     may hear it again while it is being replaced.  */
   if (chance (w, 2))
-    for (guint i = 0; i < MD_DATABASES; i++)
-      w->group.databases[i].deaf = TRUE;
+    {
+      for (guint i = 0; i < MD_DATABASES; i++)
+        w->group.databases[i].deaf = TRUE;
+      at (w, w->now + 900 * GM_MS + delay (w, 900 * GM_MS), hear_again, NULL);
+    }
   if (chance (w, 5))
     cut_link (w, a, b);
   if (chance (w, 3))
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -317,6 +317,10 @@
   g_assert_cmpint (gm_kind_ran (b.step.kind), ==, GM_RAN_NO);
   g_assert_cmpuint (b.step.retry_ms, >, 0);
   g_assert_cmpint (b.world.now - begun, <=, SN_HOLD);
+  /* A host that would not hear of a new primary does not wait for one.  */
+  b.world.cut_off = TRUE;
+  take (&b, SN_WRITE, NULL, NULL);
+  g_assert_cmpint (b.step.next, ==, SN_ANSWER);
   bench_free (&b);
 }
 
