--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -591,10 +591,9 @@
   g_free (entry);
 }
 
-static const DaemonTaskClass entry_class
-    = { .state_changed = entry_state_changed,
-        .open = entry_open,
-        .free = entry_free };
+static const DaemonTaskClass entry_class = {
+  .state_changed = entry_state_changed, .open = entry_open, .free = entry_free
+};
 
 Entry *
 entry_new (Daemon *daemon, GmStatus *status)
--- a/lib/clog/clog.h
+++ b/lib/clog/clog.h
@@ -23,8 +23,9 @@
 #define CL_FIRST_ELECTION_MIN (100 * GM_MS)
 #define CL_FIRST_ELECTION_SPREAD (150 * GM_MS)
 #define CL_JOIN_INTERVAL (200 * GM_MS)
-#define CL_KEEP_ENTRIES 64 /* entries kept behind a snapshot: what a host is
-                              behind after a second of a busy day */
+#define CL_KEEP_ENTRIES                                                       \
+  64 /* entries kept behind a snapshot: what a host is                        \
+        behind after a second of a busy day */
 #define CL_BATCH_BYTES (1024 * 1024)
 
 typedef enum
--- a/lib/conf/declaration.c
+++ b/lib/conf/declaration.c
@@ -8,8 +8,9 @@
 #define AGE_MAX_MS 86400000
 #define WORTH_MAX 1000
 #define FLOOR_SUM_MAX 0.5
-#define TRANSACTION_IDLE_MS 10000 /* as long as callers of the trial paused   \
-                                   */
+#define TRANSACTION_IDLE_MS                                                   \
+  10000 /* as long as callers of the trial paused                             \
+         */
 #define CONNECTIONS_MAX 100000
 #define NUMBER_MAX 9007199254740991.0 /* largest exact JSON integer */
 
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -261,7 +261,7 @@
 static void
 send_state (CoCore *core, Subscriber *s)
 {
-  g_autoptr (GBytes) block = cs_encode (core->state);
+  g_autoptr (GBytes) block = cs_encode_for_hosts (core->state);
   WmMessage m
       = { .type = WM_TYPE_STATE,
           .state = { .version = core->state->version, .data = block } };
@@ -269,18 +269,43 @@
   s->sent = core->state->version;
 }
 
-static guint64
-count_messages (GBytes *list)
+/* ENTRY without what only control hosts need.  */
+static void
+strip (WmMessage *entry)
 {
-  guint64 count = 0;
-  WmMessage m;
+  WmMessage command;
+  gsize length;
+  const void *data = g_bytes_get_data (entry->rec_entry.data, &length);
+  if (entry->rec_entry.type != CL_COMMAND
+      || wm_decode (data, length, &command, NULL) != GM_OK)
+    return;
+  if (command.type == WM_TYPE_CMD_CONFIG
+      && g_bytes_get_size (command.cmd_config.source) > 0)
+    {
+      g_bytes_unref (command.cmd_config.source);
+      command.cmd_config.source = NULL;
+      g_bytes_unref (entry->rec_entry.data);
+      entry->rec_entry.data = wm_encode (&command);
+    }
+  wm_clear (&command);
+}
+
+/* The entries of LIST as subscribers get them; their number in COUNT.  */
+static GBytes *
+for_hosts (GBytes *list, guint64 *count)
+{
+  GByteArray *out = g_byte_array_new ();
+  WmMessage entry;
   gsize at = 0;
-  while (wm_next (list, &at, &m))
+  *count = 0;
+  while (wm_next (list, &at, &entry))
     {
-      count++;
-      wm_clear (&m);
+      (*count)++;
+      strip (&entry);
+      wm_append (out, &entry);
+      wm_clear (&entry);
     }
-  return count;
+  return g_byte_array_free_to_bytes (out);
 }
 
 static void
@@ -297,10 +322,12 @@
           send_state (core, s);
           return;
         }
-      WmMessage m = { .type = WM_TYPE_DELTA,
-                      .delta = { .first = s->sent + 1,
-                                 .count = count_messages (list),
-                                 .commands = list } };
+      guint64 count;
+      g_autoptr (GBytes) stripped = for_hosts (list, &count);
+      WmMessage m = {
+        .type = WM_TYPE_DELTA,
+        .delta = { .first = s->sent + 1, .count = count, .commands = stripped }
+      };
       queue_send (core, s->link, NULL, &m);
       s->sent += m.delta.count;
     }
--- a/lib/control/subscriber.h
+++ b/lib/control/subscriber.h
@@ -41,8 +41,8 @@
 guint sb_peer (const SbCore *core);
 /* Whether work may be taken.  */
 gboolean sb_is_fresh (const SbCore *core, GmTime now);
-/* A host without a stamp for so long is cut off from control: the time to leave
-   a control host and to try two others.  */
+/* A host without a stamp for so long is cut off from control: the time to
+   leave a control host and to try two others.  */
 #define SB_CUT_OFF (1500 * GM_MS)
 /* Whether the host has been without news from control for so long that others
    may know better.  */
--- a/lib/cstate/cstate.h
+++ b/lib/cstate/cstate.h
@@ -105,6 +105,8 @@
                         GmStatus *outcome);
 /* The state as a block, and back; NULL for a block that is damaged.  */
 GBytes *cs_encode (const CsState *state);
+/* The same without what only control hosts need: the operator's own text.  */
+GBytes *cs_encode_for_hosts (const CsState *state);
 CsState *cs_decode (guint64 version, GBytes *block);
 /* Digest of a declaration's text; free it with g_free.  */
 char *cs_digest (const void *text, gsize length);
--- a/lib/failover/takeover.h
+++ b/lib/failover/takeover.h
@@ -28,7 +28,8 @@
 #define TO_SILENT (400 * GM_MS)
 /* Heartbeats come every 1.2 s, and up to a second late.  */
 #define TO_UNHEARD (2500 * GM_MS)
-/* No write is confirmed: longer than one takes whose packets are lost twice.  */
+/* No write is confirmed: longer than one takes whose packets are lost twice.
+ */
 #define TO_STUCK (1 * GM_SECOND)
 #define TO_LEAVE_GRACE (300 * GM_MS)  /* for transactions to end by then */
 #define TO_REPORT_OLD (1 * GM_SECOND) /* two reports missed */
--- a/lib/pool/core.h
+++ b/lib/pool/core.h
@@ -53,7 +53,7 @@
   GmTime service;    /* mean service time */
   GHashTable *costs; /* service -> GmTime, mean time in a slot */
   GmTime heard;      /* when the database last answered anything */
-  GmTime wrote; /* when it last answered a write or commit */
+  GmTime wrote;      /* when it last answered a write or commit */
   TkPoint acked;
   gboolean lead_known;
   TkPoint lead;
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -1,7 +1,6 @@
-#include "session.h"
+#include "core.h"
 #include "base/event.h"
 #include "base/mutant.h"
-#include "pool/pool.h"
 #include <string.h>
 
 /* Kept from an age bound for the way to the database.  */
@@ -9,58 +8,6 @@
 /* For a transaction to be rolled back, which needs no slot.  */
 #define RELEASE_TIME (1 * GM_SECOND)
 
-typedef struct
-{
-  gboolean writes;
-  char *shape;
-} Prepared;
-
-/* The statement on its way.  */
-typedef struct
-{
-  SnStatement statement;
-  PlOperation operation;
-  gboolean writes;
-  const char *shape; /* of an execution; owned by the session */
-  GmTime arrived;
-  GmTime deadline;
-  guint attempts;
-  GmTime sent_at;
-  TkPoint after;
-  GmTime after_at; /* when the position was the group's newest */
-  DpBegin begins;
-  char *database;
-  char *host; /* that holds its pool */
-  char *address;
-  char *except;        /* a replica that could not serve it, or NULL */
-  gboolean to_primary; /* a replica lacked the position */
-} Call;
-
-struct SnSession
-{
-  char *service;
-  char *group;
-  GTree *values; /* name -> value */
-  gsize values_bytes;
-  GHashTable *prepared; /* name -> Prepared */
-  SnState state;
-  gboolean read_only; /* the transaction */
-  gboolean wrote;     /* the transaction */
-  TkPoint own;        /* after the session's last write */
-  GmTime own_at;
-  TkPoint point;
-
-  /* Where the transaction is open, once it is.  */
-  guint64 transaction;
-  guint64 holder;
-  char *host;
-  char *address;
-  char *database;
-
-  gboolean busy;
-  Call call;
-};
-
 void
 sn_statement_clear (SnStatement *statement)
 {
@@ -88,7 +35,7 @@
 }
 
 static void
-prepared_free (Prepared *prepared)
+prepared_free (SnPrepared *prepared)
 {
   g_free (prepared->shape);
   g_free (prepared);
@@ -113,7 +60,7 @@
 }
 
 static void
-call_clear (Call *call)
+call_clear (SnCall *call)
 {
   sn_statement_clear (&call->statement);
   g_free (call->database);
@@ -168,9 +115,8 @@
   return s->busy;
 }
 
-/* Gives the open transaction up: whoever holds it rolls it back.  */
-static void
-release (SnSession *s, SnStep *step)
+void
+sn_release (SnSession *s, SnStep *step)
 {
   if (s->transaction == 0)
     return;
@@ -187,9 +133,8 @@
   forget_transaction (s);
 }
 
-/* Ends the statement on its way with an answer that no database gave.  */
-static void
-answer (SnSession *s, SnStep *step, GmKind kind, const char *message)
+void
+sn_answer (SnSession *s, SnStep *step, GmKind kind, const char *message)
 {
   step->next = SN_ANSWER;
   step->kind = kind;
@@ -198,7 +143,7 @@
     {
       s->state = s->call.operation == PL_COMMIT && s->busy ? SN_NO_TRANSACTION
                                                            : SN_FAILED;
-      release (s, step);
+      sn_release (s, step);
     }
   s->busy = FALSE;
   call_clear (&s->call);
@@ -233,7 +178,7 @@
       const char *address, const char *database, guint64 incarnation,
       SnStep *step)
 {
-  Call *call = &s->call;
+  SnCall *call = &s->call;
   const SnStatement *statement = &call->statement;
   gboolean executes = statement->verb == SN_EXECUTE;
   char *old[] = { call->database, call->host, call->address };
@@ -273,7 +218,7 @@
 static gboolean
 set_after (SnSession *s, const SnWorld *world, const CfService *service)
 {
-  Call *call = &s->call;
+  SnCall *call = &s->call;
   gboolean session = service->reads == CF_READS_SESSION;
   call->after = (TkPoint){ 0, 0 };
   if (service->reads == CF_READS_PRIMARY)
@@ -297,7 +242,7 @@
 static const CsDatabase *
 choose (SnSession *s, const SnWorld *world, const CfService *service)
 {
-  Call *call = &s->call;
+  SnCall *call = &s->call;
   gboolean opens = s->state == SN_IN_TRANSACTION;
   gboolean reads = opens ? s->read_only : !call->writes;
   call->begins = opens ? DP_BEGIN_WRITE : DP_NO_BEGIN;
@@ -334,7 +279,7 @@
   if (over || at >= s->call.deadline)
     {
       step->retry_ms = (guint64)(SN_RETRY / GM_MS);
-      answer (s, step, kind, message);
+      sn_answer (s, step, kind, message);
     }
   else
     wait_until (step, at);
@@ -352,7 +297,7 @@
   const CfService *service = find_service (s, world);
   if (service == NULL)
     {
-      answer (s, step, GM_UNKNOWN_SERVICE, "not run: no such service");
+      sn_answer (s, step, GM_UNKNOWN_SERVICE, "not run: no such service");
       return;
     }
   const char *group = g_ptr_array_index (service->depends_on, 0);
@@ -377,129 +322,20 @@
         step);
 }
 
-static void
-set_value (SnSession *s, SnStatement *st, SnStep *step)
-{
-  gsize bytes = strlen (st->name) + strlen (st->argument);
-  gboolean known = g_tree_lookup (s->values, st->name) != NULL;
-  if ((!known && g_tree_nnodes (s->values) >= SN_VALUES_MAX)
-      || s->values_bytes + bytes > SN_VALUES_BYTES_MAX)
-    {
-      answer (s, step, GM_TOO_LARGE, "the session holds too many values");
-      return;
-    }
-  if (!known)
-    s->values_bytes += bytes;
-  g_tree_replace (s->values, g_steal_pointer (&st->name),
-                  g_steal_pointer (&st->argument));
-  answer (s, step, GM_OK, "");
-}
-
-static void
-prepare (SnSession *s, SnStatement *st, SnStep *step)
-{
-  if (g_hash_table_size (s->prepared) >= SN_PREPARED_MAX)
-    {
-      answer (s, step, GM_TOO_LARGE,
-              "the session holds too many prepared statements");
-      return;
-    }
-  Prepared *prepared = g_new0 (Prepared, 1);
-  prepared->writes = st->writes;
-  prepared->shape = g_steal_pointer (&st->argument);
-  g_hash_table_replace (s->prepared, g_steal_pointer (&st->name), prepared);
-  answer (s, step, GM_OK, "");
-}
-
-static void
-begin (SnSession *s, const SnStatement *st, SnStep *step)
-{
-  if (s->state != SN_NO_TRANSACTION)
-    {
-      answer (s, step, GM_INVALID, "a transaction is open already");
-      return;
-    }
-  s->state = SN_IN_TRANSACTION;
-  s->read_only = st->read_only;
-  s->wrote = FALSE;
-  answer (s, step, GM_OK, "");
-}
-
-static void
-roll_back (SnSession *s, SnStep *step)
-{
-  if (s->state == SN_NO_TRANSACTION)
-    {
-      answer (s, step, GM_INVALID, "no transaction is open");
-      return;
-    }
-  release (s, step);
-  s->state = SN_NO_TRANSACTION;
-  answer (s, step, GM_OK, "");
-}
-
-/* Answers what needs no database.  FALSE when STATEMENT needs one.  */
-static gboolean
-serve_here (SnSession *s, SnStatement *st, SnStep *step)
-{
-  if (s->state == SN_FAILED && st->verb != SN_ROLLBACK
-      && st->verb != SN_COMMIT)
-    {
-      answer (s, step, GM_INVALID,
-              "the transaction has failed; it can only be ended");
-      return TRUE;
-    }
-  switch (st->verb)
-    {
-    case SN_SET:
-      set_value (s, st, step);
-      return TRUE;
-    case SN_PREPARE:
-      prepare (s, st, step);
-      return TRUE;
-    case SN_DEALLOCATE:
-      if (g_hash_table_remove (s->prepared, st->name))
-        answer (s, step, GM_OK, "");
-      else
-        answer (s, step, GM_INVALID, "no statement is prepared by this name");
-      return TRUE;
-    case SN_BEGIN:
-      begin (s, st, step);
-      return TRUE;
-    case SN_ROLLBACK:
-      roll_back (s, step);
-      return TRUE;
-    case SN_COMMIT:
-      if (s->state == SN_IN_TRANSACTION)
-        return FALSE;
-      if (s->state == SN_FAILED)
-        {
-          s->state = SN_NO_TRANSACTION;
-          answer (s, step, GM_TRANSACTION_LOST,
-                  "the transaction has failed; it has no effect");
-        }
-      else
-        answer (s, step, GM_INVALID, "no transaction is open");
-      return TRUE;
-    default:
-      return FALSE;
-    }
-}
-
 /* Sets what kind of statement is on its way.  FALSE when it can't be.  */
 static gboolean
 classify (SnSession *s, SnStep *step)
 {
-  Call *call = &s->call;
+  SnCall *call = &s->call;
   const SnStatement *st = &call->statement;
   call->writes = st->verb == SN_WRITE;
   if (st->verb == SN_EXECUTE)
     {
-      const Prepared *prepared = g_hash_table_lookup (s->prepared, st->name);
+      const SnPrepared *prepared = g_hash_table_lookup (s->prepared, st->name);
       if (prepared == NULL)
         {
-          answer (s, step, GM_INVALID,
-                  "no statement is prepared by this name");
+          sn_answer (s, step, GM_INVALID,
+                     "no statement is prepared by this name");
           return FALSE;
         }
       call->writes = prepared->writes;
@@ -507,7 +343,7 @@
     }
   if (call->writes && s->state == SN_IN_TRANSACTION && s->read_only)
     {
-      answer (s, step, GM_READ_ONLY, "the transaction only reads");
+      sn_answer (s, step, GM_READ_ONLY, "the transaction only reads");
       return FALSE;
     }
   call->operation = st->verb == SN_COMMIT           ? PL_COMMIT
@@ -526,7 +362,7 @@
   const CfService *service = find_service (s, world);
   SnStatement st = *statement;
   memset (statement, 0, sizeof *statement);
-  if (serve_here (s, &st, step))
+  if (sn_serve_here (s, &st, step))
     {
       sn_statement_clear (&st);
       return;
@@ -545,7 +381,7 @@
 {
   g_assert (!s->busy);
   memset (step, 0, sizeof *step);
-  answer (s, step, kind, message);
+  sn_answer (s, step, kind, message);
 }
 
 /* What an answer tells about its database and group.  */
@@ -553,7 +389,7 @@
 learn (SnSession *s, const SnWorld *world,
        const struct wm_statement_done *done)
 {
-  const Call *call = &s->call;
+  const SnCall *call = &s->call;
   GmTime now = world->now;
   if (done->lead_number > 0)
     sr_note_lead (world->router, s->group,
@@ -571,7 +407,7 @@
 static void
 follow_transaction (SnSession *s, const struct wm_statement_done *done)
 {
-  Call *call = &s->call;
+  SnCall *call = &s->call;
   if (s->state != SN_IN_TRANSACTION)
     return;
   s->wrote = s->wrote || call->writes;
@@ -592,7 +428,7 @@
 pass_on (SnSession *s, const SnWorld *world,
          const struct wm_statement_done *done, SnStep *step)
 {
-  const Call *call = &s->call;
+  const SnCall *call = &s->call;
   gboolean committed = call->operation == PL_COMMIT && done->kind == GM_OK;
   gboolean wrote = call->operation == PL_WRITE || (committed && s->wrote);
   if (done->kind == GM_OK && done->point_number > 0)
@@ -610,8 +446,8 @@
       step->signature = g_strdup (done->signature);
       step->rows = done->rows != NULL ? g_bytes_ref (done->rows) : NULL;
     }
-  answer (s, step, (GmKind)done->kind,
-          done->message != NULL ? done->message : "");
+  sn_answer (s, step, (GmKind)done->kind,
+             done->message != NULL ? done->message : "");
 }
 
 /* Whether the statement on its way, answered with KIND, may be sent again:
@@ -619,7 +455,7 @@
 static gboolean
 may_try_again (const SnSession *s, GmKind kind)
 {
-  const Call *call = &s->call;
+  const SnCall *call = &s->call;
   if (s->transaction != 0 || gm_kind_ran (kind) != GM_RAN_NO)
     return FALSE;
   switch (kind)
@@ -649,7 +485,7 @@
   learn (s, world, done);
   if (may_try_again (s, kind))
     {
-      Call *call = &s->call;
+      SnCall *call = &s->call;
       gboolean elsewhere = call->after.position > 0 && call->except == NULL
                            && (kind == GM_LAGGING || kind == GM_DEADLINE
                                || kind == GM_QUEUE_FULL);
@@ -671,7 +507,7 @@
 sn_lost (SnSession *s, const SnWorld *world, gboolean sent, SnStep *step)
 {
   memset (step, 0, sizeof *step);
-  const Call *call = &s->call;
+  const SnCall *call = &s->call;
   gboolean harmless = !sent || call->operation == PL_READ;
   gboolean kept = (call->operation == PL_WRITE || call->operation == PL_COMMIT)
                   && sent && !GM_MUTANT (GUESS_NOT_RUN);
@@ -681,14 +517,15 @@
   else if (kept)
     {
       forget_transaction (s);
-      answer (s, step, GM_OUTCOME_UNKNOWN,
-              "the host that held the queue was lost while the statement ran");
+      sn_answer (
+          s, step, GM_OUTCOME_UNKNOWN,
+          "the host that held the queue was lost while the statement ran");
     }
   else
     {
       forget_transaction (s);
-      answer (s, step, GM_TRANSACTION_LOST,
-              "the transaction's host was lost; it has no effect");
+      sn_answer (s, step, GM_TRANSACTION_LOST,
+                 "the transaction's host was lost; it has no effect");
     }
 }
 
@@ -704,5 +541,5 @@
 {
   memset (step, 0, sizeof *step);
   step->next = SN_ANSWER;
-  release (s, step);
+  sn_release (s, step);
 }
--- /dev/null
+++ b/standin/lines.c
@@ -0,0 +1,425 @@
+#include "lines.h"
+#include <string.h>
+
+typedef struct
+{
+  PdDatabase *database;
+  NsStream *stream;
+  LnReader *reader;
+  gboolean started;
+  char state;
+  gboolean read_only;
+  GArray *writes;       /* guint64 */
+  GHashTable *values;   /* session values */
+  GHashTable *prepared; /* name -> "READ shape" or "WRITE shape" */
+} Session;
+
+/* What a write did.  */
+typedef struct
+{
+  char *item;
+  char *data;
+} Change;
+
+static GmTime
+now (void)
+{
+  return gm_now (gm_clock_system ());
+}
+
+static void
+session_free (gpointer data)
+{
+  Session *s = data;
+  ns_close (s->stream);
+  ln_reader_free (s->reader);
+  g_array_unref (s->writes);
+  g_hash_table_unref (s->values);
+  g_hash_table_unref (s->prepared);
+  g_free (s);
+}
+
+static void
+end_session (Session *s)
+{
+  g_ptr_array_remove (s->database->sessions, s);
+}
+
+static void put (Session *s, const char *format, ...) G_GNUC_PRINTF (2, 3);
+
+static void
+put (Session *s, const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  g_autofree char *text = g_strdup_vprintf (format, args);
+  va_end (args);
+  ns_write (s->stream, text, strlen (text));
+}
+
+static void
+put_ready (Session *s)
+{
+  g_autoptr (GString) out = g_string_new (NULL);
+  const MdDatabase *d = s->database->model;
+  ln_put_ready (out, s->state, md_position (d, d->applied));
+  ns_write (s->stream, out->str, out->len);
+}
+
+static void
+done (Session *s, const char *id)
+{
+  if (strcmp (id, "-") == 0)
+    put (s, "DONE -\r\n");
+  else
+    put (s, "DONE sig.%s\r\n", id);
+  put_ready (s);
+}
+
+static void
+fail (Session *s, const char *code)
+{
+  if (s->state == 'T')
+    s->state = 'E';
+  put (s, "ERR %s %s\r\n", code, s->database->model->id);
+  put_ready (s);
+}
+
+/* The newest value of ITEM in the log that D shows.  */
+static const char *
+value_of (const PdBooks *books, const MdDatabase *d, const char *item)
+{
+  for (guint i = d->applied; i-- > 0;)
+    {
+      const MdCommit *c = g_ptr_array_index (d->log, i);
+      for (guint j = c->writes->len; j-- > 0;)
+        {
+          guint64 uid = g_array_index (c->writes, guint64, j);
+          const Change *change
+              = &g_array_index (books->changes, Change, uid - 1);
+          if (strcmp (change->item, item) == 0)
+            return change->data;
+        }
+    }
+  return "none";
+}
+
+/* Commits what S has written.  FALSE when S is gone with that.  */
+static gboolean
+commit (Session *s, const char *id)
+{
+  PdDatabase *db = s->database;
+  PdBooks *books = db->books;
+  gboolean confirmed
+      = s->writes->len == 0
+        || md_append (&books->group, now (), db->model, s->writes);
+  g_array_set_size (s->writes, 0);
+  s->state = 'I';
+  if (db->loses)
+    {
+      db->loses = FALSE;
+      end_session (s);
+      return FALSE;
+    }
+  /* An unconfirmed commit is answered by nobody.  */
+  if (confirmed)
+    done (s, id);
+  return TRUE;
+}
+
+static void
+note_write (Session *s, const char *item, const char *data)
+{
+  PdBooks *books = s->database->books;
+  Change change = { g_strdup (item), g_strdup (data) };
+  g_array_append_val (books->changes, change);
+  guint64 uid = books->changes->len;
+  g_array_append_val (s->writes, uid);
+}
+
+static gboolean
+run_write (Session *s, const char *id, const char *item, const char *data)
+{
+  const PdDatabase *db = s->database;
+  if (!md_leads (&db->books->group, db->model))
+    {
+      fail (s, "READONLY");
+      return TRUE;
+    }
+  note_write (s, item, data);
+  if (s->state == 'T')
+    {
+      done (s, id);
+      return TRUE;
+    }
+  return commit (s, id);
+}
+
+static void
+run_read (Session *s, const char *id, const char *item, TkPoint after)
+{
+  const PdDatabase *db = s->database;
+  if (!md_has (db->model, db->model->applied, after))
+    {
+      fail (s, "LAGGING");
+      return;
+    }
+  put (s, "ROW %s %s values=%u\r\n", value_of (db->books, db->model, item),
+       db->model->id, g_hash_table_size (s->values));
+  done (s, id);
+}
+
+static void
+run_order (Session *s, FoCall call, guint64 term)
+{
+  FoDatabase status;
+  MdDatabase *d = s->database->model;
+  md_call (d, call, term, &status);
+  put (s,
+       "ROW %s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
+       " %" G_GUINT64_FORMAT " 0 1 1\r\n",
+       status.primary ? "primary" : "replica", status.term, status.last_term,
+       status.received, status.held);
+  done (s, "-");
+}
+
+static void
+run_begin (Session *s, const char *id, gboolean read_only, TkPoint after)
+{
+  const PdDatabase *db = s->database;
+  if (!read_only && !md_leads (&db->books->group, db->model))
+    fail (s, "READONLY");
+  else if (!md_has (db->model, db->model->applied, after))
+    fail (s, "LAGGING");
+  else
+    {
+      s->state = 'T';
+      s->read_only = read_only;
+      done (s, id);
+    }
+}
+
+/* Cuts the next word off *AT.  */
+static char *
+word (char **at)
+{
+  char *start = *at != NULL ? *at : (char *)"";
+  char *blank = strchr (start, ' ');
+  if (blank != NULL)
+    *blank++ = '\0';
+  *at = blank;
+  return start;
+}
+
+static TkPoint
+point_of (const char *text)
+{
+  TkPoint point = { 0, 0 };
+  char *end;
+  point.term = g_ascii_strtoull (text, &end, 10);
+  if (*end == '.')
+    point.position = g_ascii_strtoull (end + 1, NULL, 10);
+  return point;
+}
+
+static gboolean
+run_execute (Session *s, const char *id, char *at, TkPoint after)
+{
+  const char *name = word (&at);
+  const char *item = word (&at);
+  const char *shape = g_hash_table_lookup (s->prepared, name);
+  if (shape == NULL)
+    fail (s, "NOSTMT");
+  else if (g_str_has_prefix (shape, "WRITE"))
+    return run_write (s, id, item, at != NULL ? at : "");
+  else
+    run_read (s, id, item, after);
+  return TRUE;
+}
+
+/* Runs what changes only the session.  FALSE when VERB is no such thing.  */
+static gboolean
+run_setting (Session *s, const char *id, const char *verb, char *at)
+{
+  if (strcmp (verb, "DISCARD") == 0)
+    {
+      g_hash_table_remove_all (s->values);
+      g_hash_table_remove_all (s->prepared);
+    }
+  else if (strcmp (verb, "SET") == 0)
+    {
+      char *name = word (&at);
+      g_hash_table_replace (s->values, g_strdup (name),
+                            g_strdup (at != NULL ? at : ""));
+    }
+  else if (strcmp (verb, "PREPARE") == 0)
+    {
+      char *name = word (&at);
+      g_hash_table_replace (s->prepared, g_strdup (name),
+                            g_strdup (at != NULL ? at : ""));
+    }
+  else
+    return FALSE;
+  done (s, id);
+  return TRUE;
+}
+
+/* Runs the query TEXT.  FALSE when S is gone with that.  */
+static gboolean
+run_query (Session *s, const char *id, char *text)
+{
+  TkPoint after = { 0, 0 };
+  char *at = text;
+  const char *verb = word (&at);
+  if (strcmp (verb, "AFTER") == 0)
+    {
+      after = point_of (word (&at));
+      verb = word (&at);
+    }
+  if (run_setting (s, id, verb, at))
+    return TRUE;
+  if (strcmp (verb, "BEGIN") == 0)
+    run_begin (s, id, at != NULL, after);
+  else if (strcmp (verb, "ROLLBACK") == 0)
+    {
+      g_array_set_size (s->writes, 0);
+      s->state = 'I';
+      done (s, id);
+    }
+  else if (strcmp (verb, "STATUS") == 0)
+    run_order (s, FO_CALL_STATUS, 0);
+  else if (strcmp (verb, "PAUSE") == 0)
+    run_order (s, FO_CALL_SEAL,
+               g_ascii_strtoull (at != NULL ? at : "0", NULL, 10));
+  else if (strcmp (verb, "UNPAUSE") == 0)
+    run_order (s, FO_CALL_UNSEAL, 0);
+  else if (s->state == 'E')
+    fail (s, "MALFORMED");
+  else if (s->state == 'T' && !s->read_only
+           && !md_leads (&s->database->books->group, s->database->model))
+    fail (s, "READONLY");
+  else if (strcmp (verb, "COMMIT") == 0)
+    return commit (s, id);
+  else if (strcmp (verb, "READ") == 0)
+    run_read (s, id, at != NULL ? at : "", after);
+  else if (strcmp (verb, "WRITE") == 0)
+    {
+      const char *item = word (&at);
+      return run_write (s, id, item, at != NULL ? at : "");
+    }
+  else if (strcmp (verb, "EXEC") == 0)
+    return run_execute (s, id, at, after);
+  else
+    fail (s, "MALFORMED");
+  return TRUE;
+}
+
+/* Takes one request.  FALSE when S is gone with that.  */
+static gboolean
+take (Session *s, char *line)
+{
+  LnRequest r;
+  GmStatus status;
+  const MdDatabase *d = s->database->model;
+  if (ln_request (line, &r, &status) != GM_OK || r.type == LN_BYE)
+    {
+      end_session (s);
+      return FALSE;
+    }
+  if (r.type == LN_QUERY && s->started)
+    {
+      g_autofree char *text = g_strdup (r.text);
+      g_autofree char *id = g_strdup (r.id);
+      return run_query (s, id, text);
+    }
+  gboolean right = strcmp (r.database, PD_GROUP) == 0
+                   && (r.expected == NULL || strcmp (r.expected, d->id) == 0);
+  if (!right)
+    {
+      put (s, "ERR WRONGNODE %s\r\n", d->id);
+      end_session (s);
+      return FALSE;
+    }
+  s->started = TRUE;
+  put_ready (s);
+  return TRUE;
+}
+
+static void
+on_data (NsStream *stream, const char *data, gsize length, gpointer owner)
+{
+  (void)stream;
+  Session *s = owner;
+  char *line;
+  ln_feed (s->reader, data, length);
+  while (ln_take (s->reader, &line, NULL) == GM_OK && line != NULL)
+    if (!take (s, line))
+      return;
+}
+
+static void
+on_closed (NsStream *stream, const char *why, gpointer owner)
+{
+  (void)stream;
+  (void)why;
+  Session *s = owner;
+  s->stream = NULL; /* frees itself */
+  end_session (s);
+}
+
+static const NsHandler handler = { .data = on_data, .closed = on_closed };
+
+static void
+on_accept (GSocket *socket, gpointer owner)
+{
+  PdDatabase *db = owner;
+  if (!db->model->up)
+    {
+      g_socket_close (socket, NULL);
+      g_object_unref (socket);
+      return;
+    }
+  Session *s = g_new0 (Session, 1);
+  s->database = db;
+  s->state = 'I';
+  s->reader = ln_reader_new ();
+  s->writes = g_array_new (FALSE, FALSE, sizeof (guint64));
+  s->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  s->prepared
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  s->stream = ns_accepted (socket, 0, &handler, s);
+  g_ptr_array_add (db->sessions, s);
+}
+
+static gboolean
+start_database (PdBooks *books, guint i, const CfAddress *base,
+                GmStatus *status)
+{
+  PdDatabase *db = &books->databases[i];
+  db->books = books;
+  db->model = &books->group.databases[i];
+  db->address.ip = g_strdup (base->ip);
+  db->address.port = (guint16)(base->port + 1 + i);
+  db->born = g_get_real_time () / 1000;
+  db->sessions = g_ptr_array_new_with_free_func (session_free);
+  db->listener = ns_listen (&db->address, on_accept, db, status);
+  return db->listener != NULL;
+}
+
+gboolean
+pd_start (PdBooks *books, const CfAddress *base,
+          void (*violation) (const char *what), GmStatus *status)
+{
+  gboolean good = TRUE;
+  md_init (&books->group, violation);
+  books->changes = g_array_new (FALSE, FALSE, sizeof (Change));
+  for (guint i = 0; good && i < MD_DATABASES; i++)
+    good = start_database (books, i, base, status);
+  return good;
+}
+
+void
+pd_drop_sessions (PdDatabase *db)
+{
+  g_ptr_array_set_size (db->sessions, 0);
+}
--- /dev/null
+++ b/tests/fuzz/session_callers.c
@@ -0,0 +1,268 @@
+#include "sessions.h"
+#include <string.h>
+
+static SnWorld
+view_of (const Caller *c)
+{
+  return (SnWorld){ c->world->now, c->host->state, c->host->router };
+}
+
+static void retry_later (World *w, gpointer data);
+static void give_up (World *w, gpointer data);
+
+static void
+promise (World *w, guint64 uid)
+{
+  g_array_append_val (w->promised, uid);
+  if (md_kept (&w->group, uid))
+    sw_violation ("a write is kept that was said to have no effect");
+}
+
+static void
+check_success (World *w, Caller *c, const SnStep *step)
+{
+  const MdStatement *s = c->statement;
+  gboolean ours = step->signature == NULL;
+  gboolean ends = s->ends && !(c->verb == SN_ROLLBACK);
+  g_autofree char *uid = g_strdup_printf ("%" G_GUINT64_FORMAT, s->uid);
+  gboolean data = c->verb == SN_READ || c->verb == SN_WRITE
+                  || c->verb == SN_EXECUTE || c->verb == SN_COMMIT;
+  if (data && (ours || strcmp (step->signature, uid) != 0))
+    sw_violation ("a success carries no proof of its own statement");
+  if (s->writes && !c->in_transaction
+      && !md_is_acknowledged (&w->group, s->uid))
+    sw_violation ("a write is acknowledged that no replica holds");
+  for (guint i = 0; ends && i < c->writes->len; i++)
+    if (!md_is_acknowledged (&w->group, g_array_index (c->writes, guint64, i)))
+      sw_violation ("a commit is acknowledged that no replica holds");
+}
+
+static void
+finish (World *w, Caller *c, const SnStep *step)
+{
+  const MdStatement *s = c->statement;
+  gboolean none = gm_kind_ran (step->kind) == GM_RAN_NO;
+  w->answers[step->kind]++;
+  if (step->kind == GM_OK)
+    check_success (w, c, step);
+  if (none && s->writes)
+    promise (w, s->uid);
+  for (guint i = 0; none && c->in_transaction && i < c->writes->len; i++)
+    promise (w, g_array_index (c->writes, guint64, i));
+  gboolean wrote = s->writes || (s->ends && c->writes->len > 0);
+  if (step->kind == GM_OK && wrote && (!c->in_transaction || s->ends)
+      && c->verb != SN_ROLLBACK)
+    c->own = sn_point (c->session);
+  if (s->writes && c->in_transaction && step->kind == GM_OK)
+    g_array_append_val (c->writes, s->uid);
+  if (step->kind != GM_OK && s->writes && c->in_transaction && !none)
+    g_array_append_val (c->writes, s->uid);
+  if (s->ends)
+    {
+      c->in_transaction = FALSE;
+      g_array_set_size (c->writes, 0);
+    }
+  c->sequence = 0;
+  c->statement = NULL;
+  sw_at (w, w->now + sw_delay (w, 20 * GM_MS), sw_next_statement, c);
+}
+
+static void
+follow (World *w, Caller *c, SnStep *step)
+{
+  if (step->release_host != NULL)
+    sw_post (w, c, step->release_host, &step->release);
+  if (step->next == SN_SEND)
+    {
+      c->sequence = ++w->sequences;
+      step->statement.statement.sequence = c->sequence;
+      sw_post (w, c, step->host, &step->statement);
+      sw_at (w,
+             w->now + (GmTime)step->statement.statement.deadline
+                 + SN_ANSWER_GRACE,
+             give_up, g_memdup2 (&c->sequence, sizeof c->sequence));
+    }
+  else if (step->next == SN_WAIT)
+    {
+      c->sequence = 0;
+      sw_at (w, step->until, retry_later, c);
+    }
+  else
+    finish (w, c, step);
+  sn_step_clear (step);
+}
+
+static Caller *
+waiting_for (World *w, guint64 sequence)
+{
+  for (guint i = 0; i < SESSIONS; i++)
+    if (w->callers[i].sequence == sequence)
+      return &w->callers[i];
+  return NULL;
+}
+
+void
+sw_deliver_answer (World *w, gpointer data)
+{
+  Parcel *parcel = data;
+  const struct wm_statement_done *done = &parcel->message.statement_done;
+  Caller *c = waiting_for (w, done->sequence);
+  if (c != NULL && c->host == parcel->to)
+    {
+      SnWorld view = view_of (c);
+      SnStep step;
+      sn_result (c->session, &view, done, &step);
+      follow (w, c, &step);
+    }
+  wm_clear (&parcel->message);
+  g_free (parcel);
+}
+
+void
+sw_lose (World *w, Caller *c)
+{
+  SnWorld view = view_of (c);
+  SnStep step;
+  c->sequence = 0;
+  sn_lost (c->session, &view, TRUE, &step);
+  follow (w, c, &step);
+}
+
+static void
+give_up (World *w, gpointer data)
+{
+  guint64 *sequence = data;
+  Caller *c = waiting_for (w, *sequence);
+  if (c != NULL)
+    sw_lose (w, c);
+  g_free (sequence);
+}
+
+static void
+retry_later (World *w, gpointer data)
+{
+  Caller *c = data;
+  SnWorld view = view_of (c);
+  SnStep step;
+  sn_retry (c->session, &view, &step);
+  follow (w, c, &step);
+}
+
+/* What a read that arrives now must show.  */
+static TkPoint
+required_now (World *w, const Caller *c)
+{
+  GmTime since = c->in_transaction ? c->since : c->arrived;
+  const char *service = sn_service (c->session);
+  if (strcmp (service, "primary") == 0)
+    return md_acknowledged (&w->group, since);
+  TkPoint point = md_acknowledged (&w->group, since - AGE);
+  if (strcmp (service, "session") == 0 && tk_point_compare (c->own, point) > 0)
+    point = c->own;
+  return point;
+}
+
+static GHashTable *
+copy_table (GHashTable *from)
+{
+  GHashTable *copy
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  GHashTableIter iter;
+  gpointer key, value;
+  g_hash_table_iter_init (&iter, from);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    g_hash_table_insert (copy, g_strdup (key), g_strdup (value));
+  return copy;
+}
+
+static SnVerb
+draw_verb (World *w, const Caller *c)
+{
+  guint n = (guint)gm_random_below (&w->random, 100);
+  if (c->in_transaction && n < 25)
+    return n < 18 ? SN_COMMIT : SN_ROLLBACK;
+  if (n < 35)
+    return SN_SET;
+  if (n < 42)
+    return SN_PREPARE;
+  if (!c->in_transaction && n < 55)
+    return SN_BEGIN;
+  if (n < 70 && g_hash_table_size (c->shapes) > 0)
+    return SN_EXECUTE;
+  return n < 85 ? SN_READ : SN_WRITE;
+}
+
+/* Fills in what the statement of VERB says.  */
+static void
+draw_statement (World *w, Caller *c, SnVerb verb, SnStatement *st,
+                MdStatement *s)
+{
+  guint n = (guint)gm_random_below (&w->random, 3);
+  st->verb = verb;
+  st->id = g_strdup_printf ("%" G_GUINT64_FORMAT, s->uid);
+  st->text = g_strdup (st->id);
+  s->writes = verb == SN_WRITE;
+  s->ends = verb == SN_COMMIT || verb == SN_ROLLBACK;
+  if (verb == SN_SET)
+    {
+      st->name = g_strdup_printf ("v%u", n);
+      st->argument
+          = g_strdup_printf ("%u", (guint)gm_random_below (&w->random, 4));
+      g_hash_table_replace (c->values, g_strdup (st->name),
+                            g_strdup (st->argument));
+    }
+  else if (verb == SN_PREPARE)
+    {
+      gboolean writes = gm_random_below (&w->random, 2) == 0;
+      st->name = g_strdup_printf ("s%u", n);
+      st->writes = writes;
+      st->argument = g_strdup_printf ("%s q%u", writes ? "WRITE" : "READ",
+                                      (guint)gm_random_below (&w->random, 5));
+      g_hash_table_replace (c->shapes, g_strdup (st->name),
+                            g_strdup (st->argument));
+    }
+  else if (verb == SN_EXECUTE)
+    {
+      GHashTableIter iter;
+      gpointer key, value;
+      g_hash_table_iter_init (&iter, c->shapes);
+      g_hash_table_iter_next (&iter, &key, &value);
+      st->name = g_strdup (key);
+      st->argument = g_strdup ("item");
+      s->shape = g_strdup (value);
+      s->writes = g_str_has_prefix (value, "WRITE");
+    }
+  else if (verb == SN_BEGIN)
+    st->read_only = gm_random_below (&w->random, 3) == 0;
+}
+
+void
+sw_next_statement (World *w, gpointer data)
+{
+  Caller *c = data;
+  SnVerb verb = draw_verb (w, c);
+  SnStatement st = { 0 };
+  MdStatement *s = g_new0 (MdStatement, 1);
+  s->uid = ++w->uids;
+  s->session = c->number;
+  c->arrived = w->now;
+  w->steps++;
+  if (sn_state (c->session) == SN_FAILED)
+    verb = SN_ROLLBACK;
+  draw_statement (w, c, verb, &st, s);
+  if (verb == SN_BEGIN)
+    {
+      c->in_transaction = TRUE;
+      c->since = w->now;
+      c->read_only = st.read_only;
+    }
+  s->values = copy_table (c->values);
+  s->required = required_now (w, c);
+  g_hash_table_insert (w->statements, &s->uid, s);
+  c->statement = s;
+  c->verb = verb;
+  SnWorld view = view_of (c);
+  SnStep step;
+  sn_take (c->session, &view, &st, &step);
+  follow (w, c, &step);
+}
--- /dev/null
+++ b/tests/fuzz/session_control.c
@@ -0,0 +1,374 @@
+#include "sessions.h"
+#include <string.h>
+
+static void
+pool_close (World *w, Pool *pool)
+{
+  if (pool->core == NULL)
+    return;
+  pl_drop_connections (pool->core, w->now);
+  sw_pump_pool (w, pool);
+  g_hash_table_remove_all (pool->conns);
+  g_hash_table_remove_all (pool->transactions);
+  pl_free (pool->core);
+  pool->core = NULL;
+}
+
+static gboolean
+pool_is_empty (const Pool *pool)
+{
+  PlCounts counts;
+  pl_counts (pool->core, &counts);
+  return counts.queued + counts.running + counts.transactions == 0;
+}
+
+static void
+update_pool (World *w, Host *host, Pool *pool)
+{
+  static const DpPolicy policy = { .order = DQ_FLOORS, .admission = TRUE };
+  const CsDatabase *d
+      = g_hash_table_lookup (host->state->databases, pool->database->id);
+  const CsHost *holder = cs_pool (host->state, pool->database->id);
+  gboolean mine = holder != NULL && strcmp (holder->host, host->name) == 0;
+  if (pool->core != NULL
+      && (d == NULL || d->incarnation != pool->incarnation
+          || (!mine && pool_is_empty (pool))))
+    pool_close (w, pool);
+  if (pool->core == NULL && mine && d != NULL)
+    {
+      pool->core = pl_new (&policy);
+      pool->incarnation = d->incarnation;
+    }
+  if (pool->core == NULL)
+    return;
+  pl_own (pool->core, w->now, mine);
+  pl_limits (pool->core, w->now, 2, 20, 300 * GM_MS);
+  sw_pump_pool (w, pool);
+}
+
+typedef struct
+{
+  Host *host;
+  guint64 version;
+  GBytes *block;
+} News;
+
+static void
+hear_news (World *w, gpointer data)
+{
+  News *news = data;
+  Host *host = news->host;
+  if (news->version > host->state->version)
+    {
+      cs_free (host->state);
+      host->state = cs_decode (news->version, news->block);
+      sr_state (host->router, host->state);
+      for (guint i = 0; i < MD_DATABASES; i++)
+        update_pool (w, host, &host->pools[i]);
+    }
+  g_bytes_unref (news->block);
+  g_free (news);
+}
+
+void
+sw_commit (World *w, const WmMessage *command)
+{
+  cs_apply (w->state, ++w->version, command, NULL);
+  g_autoptr (GBytes) block = cs_encode (w->state);
+  for (guint i = 0; i < HOSTS; i++)
+    {
+      News *news = g_new0 (News, 1);
+      news->host = &w->hosts[i];
+      news->version = w->version;
+      news->block = g_bytes_ref (block);
+      sw_at (
+          w,
+          w->now
+              + sw_delay (w, sw_chance (w, 300) ? 1500 * GM_MS : 10 * GM_MS),
+          hear_news, news);
+    }
+}
+
+void
+sw_announce (World *w, const MdDatabase *d)
+{
+  WmMessage m = { .type = WM_TYPE_CMD_DATABASE,
+                  .cmd_database = { .id = (char *)d->id,
+                                    .group = (char *)"g",
+                                    .address = (char *)"127.0.0.1:1",
+                                    .data_centre = (char *)"dc0",
+                                    .slots = 2,
+                                    .connections = 20,
+                                    .incarnation = d->incarnation,
+                                    .term = d->primary ? 1 : 0,
+                                    .primary = d->primary ? 1 : 0 } };
+  const CsDatabase *known = g_hash_table_lookup (w->state->databases, d->id);
+  if (known == NULL || known->incarnation != d->incarnation)
+    sw_commit (w, &m);
+  to_announced (w->leader, w->now, &m.cmd_database);
+}
+
+void
+sw_announce_host (World *w, const Host *host, gboolean pool)
+{
+  WmMessage m = { .type = WM_TYPE_CMD_HOST,
+                  .cmd_host = { .host = (char *)host->name,
+                                .incarnation = host->incarnation,
+                                .caller = (char *)"",
+                                .link = (char *)"127.0.0.1:2",
+                                .data_centre = (char *)"dc0",
+                                .roles = pool ? CS_POOL : 0 } };
+  sw_commit (w, &m);
+}
+
+/* A leader's call or order on its way.  */
+typedef struct
+{
+  ToAction action;
+  guint64 round;
+  char holder[8];
+} Duty;
+
+static MdDatabase *
+database_of (World *w, const char *id)
+{
+  for (guint i = 0; i < MD_DATABASES; i++)
+    if (strcmp (w->group.databases[i].id, id) == 0)
+      return &w->group.databases[i];
+  return NULL;
+}
+
+/* The answer to an order says that it was taken; it takes effect later.  */
+static void
+promote (World *w, gpointer data)
+{
+  Duty *duty = data;
+  if (md_promote (&w->group, duty->action.id, duty->action.token))
+    w->promotions++;
+  to_action_clear (&duty->action);
+  g_free (duty);
+}
+
+static void
+duty_done (World *w, gpointer data)
+{
+  Duty *duty = data;
+  const ToAction *a = &duty->action;
+  gboolean lost = !w->calm && sw_chance (w, 100);
+  MdDatabase *d = database_of (w, a->id);
+  FoDatabase status;
+  if (a->type == TO_CALL)
+    {
+      gboolean answered
+          = d->up && !lost && md_call (d, a->call, a->term, &status);
+      if (duty->round == w->round)
+        to_called (w->leader, w->now, a->id, answered,
+                   answered ? &status : NULL);
+    }
+  else
+    {
+      /* An order without an answer may still be carried out.  */
+      gboolean runs = !lost || sw_chance (w, 500);
+      gboolean good
+          = runs && md_take_order (&w->group, a->id, duty->holder, a->token);
+      if (good)
+        {
+          Duty *effect = g_new0 (Duty, 1);
+          effect->action
+              = (ToAction){ .id = g_strdup (a->id), .token = a->token };
+          sw_at (w, w->now + sw_delay (w, 400 * GM_MS), promote, effect);
+        }
+      if (duty->round == w->round)
+        to_ordered (w->leader, w->now, a->group, a->token,
+                    lost   ? TO_UNKNOWN
+                    : good ? TO_DONE
+                           : TO_REFUSED);
+    }
+  to_action_clear (&duty->action);
+  g_free (duty);
+}
+
+static void
+lead (World *w)
+{
+  WmMessage command;
+  ToAction action;
+  to_tick (w->leader, w->now, 0, w->state);
+  while (to_take_command (w->leader, &command))
+    {
+      sw_commit (w, &command);
+      wm_clear (&command);
+    }
+  while (to_take_action (w->leader, &action))
+    {
+      Duty *duty = g_new0 (Duty, 1);
+      duty->action = action;
+      duty->round = w->round;
+      g_strlcpy (duty->holder, w->leader_name, sizeof duty->holder);
+      gboolean late
+          = action.type == TO_ORDER && !w->calm && sw_chance (w, 200);
+      sw_at (w, w->now + sw_delay (w, late ? 3 * GM_SECOND : 20 * GM_MS),
+             duty_done, duty);
+    }
+}
+
+static void
+report (World *w, Host *host)
+{
+  GByteArray *out = g_byte_array_new ();
+  for (guint i = 0; i < MD_DATABASES; i++)
+    {
+      PlHealth h;
+      if (host->pools[i].core == NULL)
+        continue;
+      pl_health (host->pools[i].core, w->now, &h);
+      WmMessage seen = { .type = WM_TYPE_SEEN,
+                         .seen = { .id = host->pools[i].database->id,
+                                   .reachable = h.reachable ? 1 : 0,
+                                   .last_term = h.acked.term,
+                                   .received = h.acked.position,
+                                   .silent = h.silent,
+                                   .stuck = h.stuck,
+                                   .open = h.open } };
+      wm_append (out, &seen);
+    }
+  g_autoptr (GBytes) list = g_byte_array_free_to_bytes (out);
+  WmMessage m = { .type = WM_TYPE_REPORT,
+                  .report = { .host = host->name, .databases = list } };
+  to_report (w->leader, w->now, w->state, &m.report);
+}
+
+/* Faults.  */
+
+static void
+start_database (World *w, gpointer data)
+{
+  MdDatabase *d = data;
+  if (!d->up)
+    md_start (&w->group, d);
+}
+
+static void
+crash_database (World *w, MdDatabase *d)
+{
+  if (!d->up)
+    return;
+  md_crash (&w->group, d);
+  for (guint i = 0; i < HOSTS; i++)
+    for (guint j = 0; j < MD_DATABASES; j++)
+      {
+        Pool *pool = &w->hosts[i].pools[j];
+        if (pool->database != d || pool->core == NULL)
+          continue;
+        g_autoptr (GList) ids = g_hash_table_get_keys (pool->conns);
+        g_autoptr (GArray) numbers
+            = g_array_new (FALSE, FALSE, sizeof (guint64));
+        for (GList *l = ids; l != NULL; l = l->next)
+          g_array_append_vals (numbers, l->data, 1);
+        g_hash_table_remove_all (pool->conns);
+        for (guint k = 0; k < numbers->len; k++)
+          pl_disconnected (pool->core, w->now,
+                           g_array_index (numbers, guint64, k));
+        sw_pump_pool (w, pool);
+      }
+  sw_at (w, w->now + sw_delay (w, 4 * GM_SECOND), start_database, d);
+}
+
+static void
+cut_link (World *w, Host *from, Host *to)
+{
+  for (guint i = 0; i < SESSIONS; i++)
+    if (w->callers[i].host == from && w->callers[i].sequence != 0)
+      sw_lose (w, &w->callers[i]);
+  for (guint j = 0; j < MD_DATABASES; j++)
+    {
+      Pool *pool = &to->pools[j];
+      if (pool->core == NULL)
+        continue;
+      g_autoptr (GArray) gone = g_array_new (FALSE, FALSE, sizeof (guint64));
+      GHashTableIter iter;
+      gpointer key, value;
+      g_hash_table_iter_init (&iter, pool->transactions);
+      while (g_hash_table_iter_next (&iter, &key, &value))
+        if (GPOINTER_TO_UINT (value) == (guint)(from - w->hosts) + 1)
+          g_array_append_vals (gone, key, 1);
+      for (guint k = 0; k < gone->len; k++)
+        pl_abandon (pool->core, w->now, g_array_index (gone, guint64, k));
+      sw_pump_pool (w, pool);
+    }
+}
+
+static void
+change_leader (World *w)
+{
+  w->round++;
+  g_snprintf (w->leader_name, sizeof w->leader_name, "c%u",
+              (guint)(w->round % 3));
+  to_free (w->leader);
+  w->leader = to_new (w->leader_name);
+  to_lead (w->leader, w->now, w->round);
+}
+
+static void
+hear_again (World *w, gpointer data)
+{
+  (void)data;
+  for (guint i = 0; i < MD_DATABASES; i++)
+    w->group.databases[i].deaf = FALSE;
+}
+
+static void
+injure (World *w)
+{
+  Host *a = &w->hosts[gm_random_below (&w->random, HOSTS)];
+  Host *b = &w->hosts[gm_random_below (&w->random, HOSTS)];
+  MdDatabase *d
+      = &w->group.databases[gm_random_below (&w->random, MD_DATABASES)];
+  guint down = 0;
+  for (guint i = 0; i < MD_DATABASES; i++)
+    down += w->group.databases[i].up ? 0 : 1;
+  if (sw_chance (w, 6) && down == 0)
+    crash_database (w, d);
+  if (sw_chance (w, 5))
+    d->deaf = !d->deaf;
+  /* The primary is cut off from all replicas, and still reached by pools; they
+     may hear it again while it is being replaced.  */
+  if (sw_chance (w, 2))
+    {
+      for (guint i = 0; i < MD_DATABASES; i++)
+        w->group.databases[i].deaf = TRUE;
+      sw_at (w, w->now + 900 * GM_MS + sw_delay (w, 900 * GM_MS), hear_again,
+             NULL);
+    }
+  if (sw_chance (w, 5))
+    cut_link (w, a, b);
+  if (sw_chance (w, 3))
+    change_leader (w);
+  if (sw_chance (w, 3))
+    sw_announce_host (w, a, gm_random_below (&w->random, 2) == 0);
+}
+
+void
+sw_tick (World *w, gpointer data)
+{
+  (void)data;
+  md_replicate (&w->group, &w->random);
+  if (!w->calm)
+    injure (w);
+  for (guint i = 0; i < HOSTS; i++)
+    {
+      for (guint j = 0; j < MD_DATABASES; j++)
+        if (w->hosts[i].pools[j].core != NULL)
+          {
+            pl_tick (w->hosts[i].pools[j].core, w->now);
+            sw_pump_pool (w, &w->hosts[i].pools[j]);
+            update_pool (w, &w->hosts[i], &w->hosts[i].pools[j]);
+          }
+      report (w, &w->hosts[i]);
+    }
+  for (guint i = 0; i < MD_DATABASES; i++)
+    if (w->group.databases[i].up)
+      sw_announce (w, &w->group.databases[i]);
+  lead (w);
+  sw_at (w, w->now + TICK, sw_tick, NULL);
+}
--- /dev/null
+++ b/tests/fuzz/session_pools.c
@@ -0,0 +1,208 @@
+#include "sessions.h"
+#include <string.h>
+
+typedef struct
+{
+  Pool *pool;
+  PlCore *core; /* that it belongs to: the pool may be another by then */
+  guint64 conn;
+  MdResult result;
+  char *signature;
+  gboolean lost;
+} Exchange;
+
+static gboolean
+is_current (const Exchange *x)
+{
+  return x->pool->core == x->core;
+}
+
+static void
+exchange_ends (World *w, gpointer data)
+{
+  Exchange *x = data;
+  Pool *pool = x->pool;
+  const MdConn *conn
+      = is_current (x) ? g_hash_table_lookup (pool->conns, &x->conn) : NULL;
+  if (conn != NULL && x->lost)
+    {
+      g_hash_table_remove (pool->conns, &x->conn);
+      pl_disconnected (pool->core, w->now, x->conn);
+    }
+  else if (conn != NULL && !x->result.hangs)
+    {
+      DpOutcome outcome = { .kind = x->result.kind,
+                            .signature = x->signature,
+                            .point = x->result.point,
+                            .led = x->result.led,
+                            .lead = x->result.lead,
+                            .in_transaction = conn->open };
+      pl_done (pool->core, w->now, x->conn, &outcome);
+    }
+  if (is_current (x))
+    sw_pump_pool (w, pool);
+  g_free (x->signature);
+  g_free (x);
+}
+
+/* Runs ACTION at the database, or loses it on the way there or back.  */
+static void
+run_action (World *w, Pool *pool, const PlAction *action)
+{
+  MdConn *conn = g_hash_table_lookup (pool->conns, &action->connection);
+  const PlRequest *r = action->request;
+  if (conn == NULL)
+    return;
+  guint64 uid = r->id != NULL ? g_ascii_strtoull (r->id, NULL, 10) : 0;
+  const MdStatement *statement
+      = uid != 0 ? g_hash_table_lookup (w->statements, &uid) : NULL;
+  Exchange *x = g_new0 (Exchange, 1);
+  x->pool = pool;
+  x->core = pool->core;
+  x->conn = action->connection;
+  x->signature = g_strdup (r->id);
+  x->lost = !w->calm && sw_chance (w, 10);
+  gboolean arrives = pool->database->up && (!x->lost || sw_chance (w, 500));
+  if (arrives)
+    x->result
+        = md_run (&w->group, w->now, pool->database, conn, action, statement);
+  else
+    x->lost = TRUE;
+  sw_at (w, w->now + sw_delay (w, 15 * GM_MS), exchange_ends, x);
+}
+
+static void
+conn_opens (World *w, gpointer data)
+{
+  Exchange *x = data;
+  Pool *pool = x->pool;
+  if (is_current (x))
+    {
+      if (pool->database->up
+          && pool->incarnation == pool->database->incarnation)
+        {
+          g_hash_table_insert (pool->conns,
+                               g_memdup2 (&x->conn, sizeof x->conn),
+                               md_conn_new ());
+          pl_connected (pool->core, w->now, x->conn);
+        }
+      else
+        pl_disconnected (pool->core, w->now, x->conn);
+      sw_pump_pool (w, pool);
+    }
+  g_free (x);
+}
+
+/* Messages.  */
+
+static void
+answer (World *w, Pool *pool, PlRequest *r)
+{
+  Parcel *parcel = g_new0 (Parcel, 1);
+  WmMessage done;
+  guint entry = GPOINTER_TO_UINT (r->owner);
+  pl_request_done (pool->core, r, w->now, pool->host->incarnation, &done);
+  wm_copy (&parcel->message, &done);
+  parcel->from = pool->host;
+  if (r->transaction != 0 && !r->open)
+    g_hash_table_remove (pool->transactions, &r->transaction);
+  else if (r->transaction != 0)
+    g_hash_table_insert (pool->transactions,
+                         g_memdup2 (&r->transaction, sizeof r->transaction),
+                         GUINT_TO_POINTER (entry + 1));
+  if (r->sequence != 0)
+    {
+      parcel->to = &w->hosts[entry];
+      sw_at (w, w->now + sw_delay (w, 2 * GM_MS), sw_deliver_answer, parcel);
+    }
+  else
+    {
+      wm_clear (&parcel->message);
+      g_free (parcel);
+    }
+  pl_request_free (r);
+}
+
+void
+sw_pump_pool (World *w, Pool *pool)
+{
+  PlAction action;
+  while (pool->core != NULL && pl_take_action (pool->core, &action))
+    {
+      if (action.type == PL_OPEN)
+        {
+          Exchange *x = g_new0 (Exchange, 1);
+          x->pool = pool;
+          x->core = pool->core;
+          x->conn = action.connection;
+          sw_at (w, w->now + sw_delay (w, 20 * GM_MS), conn_opens, x);
+        }
+      else if (action.type == PL_CLOSE)
+        g_hash_table_remove (pool->conns, &action.connection);
+      else if (action.type == PL_RUN)
+        run_action (w, pool, &action);
+      else
+        answer (w, pool, action.request);
+      pl_action_clear (&action);
+    }
+}
+
+static void
+deliver_statement (World *w, gpointer data)
+{
+  Parcel *parcel = data;
+  const struct wm_statement *m = &parcel->message.statement;
+  Host *host = parcel->to;
+  Pool *pool = NULL;
+  for (guint i = 0; i < MD_DATABASES; i++)
+    if (strcmp (host->pools[i].database->id, m->database) == 0)
+      pool = &host->pools[i];
+  gboolean known
+      = pool != NULL && pool->core != NULL
+        && (m->transaction != 0 ? m->holder == host->incarnation
+                                : m->incarnation == pool->incarnation);
+  if (known)
+    {
+      const CfService *service
+          = cf_service_find (host->state->declaration, m->service);
+      PlRequest *r = pl_request_from (m, service, w->now);
+      r->owner = GUINT_TO_POINTER ((guint)(parcel->from - w->hosts));
+      pl_submit (pool->core, w->now, r);
+      sw_pump_pool (w, pool);
+    }
+  else if (m->sequence != 0)
+    {
+      Parcel *back = g_new0 (Parcel, 1);
+      back->from = host;
+      back->to = parcel->from;
+      back->message = (WmMessage){
+        .type = WM_TYPE_STATEMENT_DONE,
+        .statement_done
+        = { .sequence = m->sequence,
+            .kind = m->transaction != 0 ? GM_TRANSACTION_LOST : GM_DRAINING,
+            .message = g_strdup ("") }
+      };
+      sw_at (w, w->now + sw_delay (w, 2 * GM_MS), sw_deliver_answer, back);
+    }
+  wm_clear (&parcel->message);
+  g_free (parcel);
+}
+
+static Host *
+host_of (World *w, const char *name)
+{
+  for (guint i = 0; i < HOSTS; i++)
+    if (strcmp (w->hosts[i].name, name) == 0)
+      return &w->hosts[i];
+  return NULL;
+}
+
+void
+sw_post (World *w, Caller *c, const char *host, WmMessage *message)
+{
+  Parcel *parcel = g_new0 (Parcel, 1);
+  parcel->from = c->host;
+  parcel->to = host_of (w, host);
+  wm_copy (&parcel->message, message);
+  sw_at (w, w->now + sw_delay (w, 2 * GM_MS), deliver_statement, parcel);
+}
--- /dev/null
+++ b/tests/fuzz/sessions.h
@@ -0,0 +1,129 @@
+/* The world of the sessions fuzzer: entry hosts with sessions and pools, model
+   databases, a control leader, all under one virtual clock.
+
+   sessions.c: the frame and the checks at the end.  session_callers.c: what
+   callers do and must hear.  session_pools.c: pools and messages between
+   hosts.  session_control.c: the control state, changes of primary, faults. */
+#pragma once
+#include "failover/takeover.h"
+#include "model.h"
+#include "session/session.h"
+
+#define HOSTS 3
+#define SESSIONS 12
+#define START (100 * GM_SECOND)
+#define TICK (5 * GM_MS)
+#define AGE (400 * GM_MS) /* of the services that bound it */
+#define SETTLE (20 * GM_SECOND)
+
+typedef struct World World;
+typedef struct Host Host;
+
+typedef struct
+{
+  Host *host;
+  PlCore *core;
+  MdDatabase *database;
+  guint64 incarnation;
+  GHashTable *conns;        /* number -> MdConn */
+  GHashTable *transactions; /* number -> GUINT entry host + 1 */
+} Pool;
+
+struct Host
+{
+  World *world;
+  char name[8];
+  guint64 incarnation;
+  CsState *state;
+  SrRouter *router;
+  Pool pools[MD_DATABASES]; /* core NULL: not held */
+};
+
+typedef struct
+{
+  World *world;
+  Host *host;
+  guint64 number;
+  SnSession *session;
+  GHashTable *values; /* what was acknowledged */
+  GHashTable *shapes; /* prepared name -> shape */
+  guint64 sequence;   /* of the statement on its way, 0: none */
+  MdStatement *statement;
+  SnVerb verb;
+  GmTime since; /* of the transaction */
+  TkPoint own;
+  GArray *writes; /* guint64, of the transaction */
+  gboolean in_transaction;
+  gboolean read_only;
+  GmTime arrived;
+} Caller;
+
+typedef struct
+{
+  GmTime at;
+  guint64 order;
+  void (*run) (World *w, gpointer data);
+  gpointer data;
+} Event;
+
+struct World
+{
+  GmRandom random;
+  GmTime now;
+  guint64 orders;
+  GSequence *events;
+  MdGroup group;
+  CsState *state; /* the committed one */
+  guint64 version;
+  Host hosts[HOSTS];
+  Caller callers[SESSIONS];
+  GHashTable *statements; /* uid -> MdStatement */
+  GArray *promised;       /* guint64, uids that must not be kept */
+  guint64 uids;
+  guint64 sequences;
+  ToCore *leader;
+  char leader_name[8];
+  guint64 round;
+  guint64 steps;
+  guint64 answers[GM_KIND_COUNT];
+  guint promotions;
+  gboolean calm; /* no more faults */
+};
+
+/* A message on its way.  */
+typedef struct
+{
+  Host *from;
+  Host *to;
+  WmMessage message;
+} Parcel;
+
+/* Notes a broken promise; the first one ends the schedule.  */
+void sw_violation (const char *what);
+/* Calls RUN with DATA at WHEN.  */
+void sw_at (World *w, GmTime when, void (*run) (World *, gpointer),
+            gpointer data);
+/* A time of up to MOST.  */
+GmTime sw_delay (World *w, GmTime most);
+gboolean sw_chance (World *w, guint per_thousand);
+
+/* session_pools.c  */
+/* Carries out what POOL's core asks for.  */
+void sw_pump_pool (World *w, Pool *pool);
+/* Sends MESSAGE from the host of C to HOST.  */
+void sw_post (World *w, Caller *c, const char *host, WmMessage *message);
+
+/* session_callers.c  */
+/* Events: a caller's next statement; an answer, of a Parcel, arrives.  */
+void sw_next_statement (World *w, gpointer data);
+void sw_deliver_answer (World *w, gpointer data);
+/* The statement of C on its way is lost with its link.  */
+void sw_lose (World *w, Caller *c);
+
+/* session_control.c  */
+/* Commits COMMAND; the hosts hear of it later.  */
+void sw_commit (World *w, const WmMessage *command);
+void sw_announce (World *w, const MdDatabase *d);
+void sw_announce_host (World *w, const Host *host, gboolean pool);
+/* Event: what happens every few milliseconds.  */
+void sw_tick (World *w, gpointer data);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -251,6 +251,100 @@
   gp_free (group);
 }
 
+/* Numbers as they come where the highest wins, and which is in force then.  */
+static const struct
+{
+  guint number;
+  guint flavour;
+  guint in_force;
+  guint deadline; /* 100 and the flavour in force */
+} highest[] = {
+  { 3, 0, 3, 100 }, { 2, 1, 3, 100 }, { 3, 2, 3, 100 },
+  { 7, 3, 7, 103 }, { 3, 0, 7, 103 }, { 7, 3, 7, 103 },
+};
+
+static void
+test_highest (void)
+{
+  g_autoptr (CsState) state = cs_new ();
+  for (guint i = 0; i < G_N_ELEMENTS (highest); i++)
+    {
+      GmStatus status = { GM_OK, "" };
+      WmMessage c = config (highest[i].number, highest[i].flavour);
+      c.cmd_config.highest = 1;
+      c.cmd_config.source = g_bytes_new ("as sent", 7);
+      g_assert_cmpint (cs_apply (state, i + 1, &c, &status), ==, GM_OK);
+      const CfService *service
+          = g_ptr_array_index (state->declaration->services, 0);
+      g_assert_cmpint (state->declaration->number, ==, highest[i].in_force);
+      g_assert_cmpint (service->deadline_ms, ==, highest[i].deadline);
+      wm_clear (&c);
+    }
+  /* Control hosts keep what the operator sent; the others are spared it.  */
+  g_autoptr (GBytes) block = cs_encode (state);
+  g_autoptr (CsState) copy = cs_decode (state->version, block);
+  g_assert_cmpuint (g_bytes_get_size (copy->source), ==, 7);
+  g_autoptr (GBytes) slim = cs_encode_for_hosts (state);
+  g_autoptr (CsState) host = cs_decode (state->version, slim);
+  g_assert_cmpuint (g_bytes_get_size (host->source), ==, 0);
+  g_assert_cmpint (host->declaration->number, ==, 7);
+}
+
+static void
+add_pool_host (CsState *state, const char *host, const char *data_centre,
+               gboolean pool)
+{
+  WmMessage m = { .type = WM_TYPE_CMD_HOST,
+                  .cmd_host = { .host = (char *)host,
+                                .incarnation = 1,
+                                .caller = (char *)"",
+                                .link = (char *)"",
+                                .data_centre = (char *)data_centre,
+                                .roles = pool ? CS_POOL : 0 } };
+  cs_apply (state, state->version + 1, &m, NULL);
+}
+
+static void
+add_database (CsState *state, const char *id, const char *data_centre)
+{
+  WmMessage m = { .type = WM_TYPE_CMD_DATABASE,
+                  .cmd_database = { .id = (char *)id,
+                                    .group = (char *)"g",
+                                    .address = (char *)"",
+                                    .data_centre = (char *)data_centre,
+                                    .slots = 2,
+                                    .incarnation = 1 } };
+  cs_apply (state, state->version + 1, &m, NULL);
+}
+
+/* Who holds the queues of four databases: evenly, near them, never nobody.  */
+static void
+test_pools (void)
+{
+  static const char *const ids[] = { "d1", "d2", "d3", "d4" };
+  g_autoptr (CsState) state = cs_new ();
+  g_assert_null (cs_pool (state, "d1"));
+  add_database (state, "d1", "a");
+  add_database (state, "d2", "a");
+  add_database (state, "d3", "b");
+  add_database (state, "d4", "c");
+  g_assert_null (cs_pool (state, "d1"));
+  add_pool_host (state, "a1", "a", TRUE);
+  add_pool_host (state, "a2", "a", TRUE);
+  add_pool_host (state, "b1", "b", TRUE);
+  add_pool_host (state, "c1", "c", TRUE);
+  g_assert_cmpstr (cs_pool (state, "d1")->data_centre, ==, "a");
+  g_assert_cmpstr (cs_pool (state, "d2")->data_centre, ==, "a");
+  g_assert_true (cs_pool (state, "d1") != cs_pool (state, "d2"));
+  g_assert_cmpstr (cs_pool (state, "d3")->host, ==, "b1");
+  /* A data centre without hosts: its database goes anywhere, and takes nobody
+     else's place.  */
+  add_pool_host (state, "c1", "c", FALSE);
+  for (guint i = 0; i < G_N_ELEMENTS (ids); i++)
+    g_assert_nonnull (cs_pool (state, ids[i]));
+  g_assert_cmpstr (cs_pool (state, "d3")->host, ==, "b1");
+}
+
 int
 main (int argc, char **argv)
 {
@@ -260,5 +354,7 @@
   g_test_add_func ("/state/stale-control", test_stale_control);
   g_test_add_func ("/state/check", test_check);
   g_test_add_func ("/state/stall", test_stall);
+  g_test_add_func ("/state/highest", test_highest);
+  g_test_add_func ("/state/pools", test_pools);
   return g_test_run ();
 }
