--- a/lib/conf/declaration.c
+++ b/lib/conf/declaration.c
@@ -282,6 +282,7 @@
   CfDeclaration *d = g_new0 (CfDeclaration, 1);
   d->groups = g_ptr_array_new_with_free_func ((GDestroyNotify)group_free);
   d->services = g_ptr_array_new_with_free_func ((GDestroyNotify)service_free);
+  d->refs = 1;
   d->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   d->groups_by_name = g_hash_table_new (g_str_hash, g_str_equal);
   d->transaction_idle_ms = TRANSACTION_IDLE_MS;
@@ -295,7 +296,7 @@
 void
 cf_declaration_free (CfDeclaration *declaration)
 {
-  if (declaration == NULL)
+  if (declaration == NULL || --declaration->refs > 0)
     return;
   g_hash_table_unref (declaration->by_name);
   g_hash_table_unref (declaration->groups_by_name);
@@ -304,6 +305,28 @@
   g_free (declaration);
 }
 
+CfDeclaration *
+cf_declaration_of (GBytes *text, GmStatus *status)
+{
+  static GBytes *last_text;
+  static CfDeclaration *last;
+  if (last_text == NULL || !g_bytes_equal (text, last_text))
+    {
+      gsize length;
+      const char *data = g_bytes_get_data (text, &length);
+      CfDeclaration *fresh
+          = cf_declaration_parse ("declaration", data, length, status);
+      if (fresh == NULL)
+        return NULL;
+      cf_declaration_free (last);
+      g_clear_pointer (&last_text, g_bytes_unref);
+      last_text = g_bytes_ref (text);
+      last = fresh;
+    }
+  last->refs++;
+  return last;
+}
+
 const CfService *
 cf_service_find (const CfDeclaration *declaration, const char *name)
 {
--- a/lib/conf/declaration.h
+++ b/lib/conf/declaration.h
@@ -67,6 +67,7 @@
 
 typedef struct
 {
+  guint refs;
   gint64 number;
   GPtrArray *groups;           /* CfGroup * */
   GPtrArray *services;         /* CfService * */
@@ -83,7 +84,11 @@
    cf_declaration_free.  */
 CfDeclaration *cf_declaration_parse (const char *name, const char *text,
                                      gsize length, GmStatus *status);
-/* Frees DECLARATION; NULL is allowed.  */
+/* The declaration that TEXT says, as cf_declaration_parse.  The last one asked
+   for is kept: a process that holds the control state more than once, or has
+   just checked a text, parses it once.  */
+CfDeclaration *cf_declaration_of (GBytes *text, GmStatus *status);
+/* Drops a reference to DECLARATION; NULL is allowed.  */
 void cf_declaration_free (CfDeclaration *declaration);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (CfDeclaration, cf_declaration_free)
 /* The service called NAME, owned by DECLARATION, or NULL.  */
--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -195,10 +195,7 @@
 set_declaration (CsState *state, GBytes *text, GBytes *source,
                  GmStatus *outcome)
 {
-  gsize length;
-  const char *data = g_bytes_get_data (text, &length);
-  CfDeclaration *fresh
-      = cf_declaration_parse ("declaration", data, length, outcome);
+  CfDeclaration *fresh = cf_declaration_of (text, outcome);
   if (fresh == NULL)
     return FALSE;
   cf_declaration_free (state->declaration);
