--- a/lib/json/json.c
+++ b/lib/json/json.c
@@ -275,6 +275,16 @@
   return document->root;
 }
 
+json_object *
+js_member (json_object *object, const char *name, json_type type)
+{
+  json_object *value;
+  return json_object_object_get_ex (object, name, &value)
+                 && json_object_is_type (value, type)
+             ? value
+             : NULL;
+}
+
 GmKind
 js_fault (const JsDocument *document, const char *path, GmStatus *status,
           const char *format, ...)
--- a/lib/json/json.h
+++ b/lib/json/json.h
@@ -25,6 +25,9 @@
 
 /* The root value, owned by DOCUMENT.  */
 json_object *js_root (const JsDocument *document);
+/* The member NAME of OBJECT if it is there and of TYPE, or NULL.  For texts of
+   others, whose unknown members are let pass.  */
+json_object *js_member (json_object *object, const char *name, json_type type);
 /* Stores a fault at PATH, such as "services[2].rank", with the file, line and
    column where that value stands.  Returns GM_INVALID.  */
 GmKind js_fault (const JsDocument *document, const char *path,
