--- a/tests/test_clog.c
+++ b/tests/test_clog.c
@@ -145,6 +145,63 @@
   node_free (&n);
 }
 
+/* Whoever joins knows some control hosts, not the leader: a follower hands the
+   request on, once.  */
+static void
+test_join_through_follower (void)
+{
+  Node n = node_new ("a", "disk-a");
+  lead_alone (&n);
+  drop_sends (&n);
+  join (&n, "b", "disk-b");
+  /* The leader steps down for a later term of another host.  */
+  g_autoptr (GBytes) none = g_bytes_new (NULL, 0);
+  WmMessage append = { .type = WM_TYPE_APPEND,
+                       .append = { .term = cl_term (n.core) + 1,
+                                   .from = (char *)"b",
+                                   .disk = (char *)"disk-b",
+                                   .prev_index = cl_last_index (n.core),
+                                   .prev_term = cl_term (n.core),
+                                   .entries = none } };
+  appended (&n, "b", "disk-b", cl_last_index (n.core));
+  append.append.prev_index = cl_last_index (n.core);
+  cl_receive (n.core, n.now, &append);
+  g_assert_cmpint (cl_role (n.core), ==, CL_FOLLOWER);
+  drop_sends (&n);
+  join (&n, "c", "disk-c");
+  WmMessage forwarded = expect_send (&n, "b", WM_TYPE_JOIN);
+  g_assert_cmpstr (forwarded.join.from, ==, "c");
+  g_assert_cmpuint (forwarded.join.forwarded, ==, 1);
+  drop_sends (&n);
+  cl_receive (n.core, n.now, &forwarded);
+  ClSend send;
+  g_assert_false (cl_take_send (n.core, &send));
+  wm_clear (&forwarded);
+  node_free (&n);
+}
+
+/* Where host names are unique, an emptied disk needs no operator; the old disk
+   neither votes nor counts from then on.  */
+static void
+test_unique_hosts (void)
+{
+  Node n = node_new ("a", "disk-a");
+  cl_set_unique_hosts (n.core);
+  lead_alone (&n);
+  g_assert_cmpuint (cl_settled_voters (n.core), ==, 1);
+  join (&n, "b", "disk-b");
+  appended (&n, "b", "disk-b", cl_last_index (n.core));
+  appended (&n, "b", "disk-b", cl_last_index (n.core));
+  g_assert_true (is_voter (&n, "b"));
+  join (&n, "b", "another-disk");
+  g_assert_false (is_voter (&n, "b"));
+  appended (&n, "b", "disk-b", cl_last_index (n.core));
+  g_assert_false (is_voter (&n, "b"));
+  appended (&n, "b", "another-disk", cl_last_index (n.core));
+  g_assert_true (is_voter (&n, "b"));
+  node_free (&n);
+}
+
 static void
 test_replace_twice (void)
 {
@@ -384,6 +441,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/clog/learner", test_learner);
   g_test_add_func ("/clog/lost-disk", test_lost_disk);
+  g_test_add_func ("/clog/join-through-follower", test_join_through_follower);
+  g_test_add_func ("/clog/unique-hosts", test_unique_hosts);
   g_test_add_func ("/clog/replace-twice", test_replace_twice);
   g_test_add_func ("/clog/stamp", test_stamp);
   g_test_add_func ("/clog/many-changes", test_many_changes);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -2,6 +2,8 @@
 #include "platform/announcement.h"
 #include "platform/line.h"
 #include "platform/manifest.h"
+#include "platform/settings.h"
+#include <glib/gstdio.h>
 #include <string.h>
 
 #define GARBAGE_ROUNDS 20000
@@ -443,6 +445,77 @@
     }
 }
 
+/* Settings: what stands in place of MORE and PLATFORM, and the fault; NULL:
+ * none.
+ */
+static const struct
+{
+  const char *control;
+  const char *platform;
+  const char *says;
+} settings_rows[] = {
+  { "\"seeds\": [\"10.0.0.1:8782\"], \"seeds_port\": 7440",
+    "\"callers\": \"10.0.0.9:8784\", \"control\": \"\"", NULL },
+  { "\"seeds\": [\"10.0.0.1:8782\", \"here\"]", "", "control.seeds[1]" },
+  { "\"seeds\": [7]", "", "control.seeds[0]" },
+  { "\"seeds\": [\"10.0.0.1:1\"], \"peers\": [{\"host\": \"a\", "
+    "\"address\": \"10.0.0.1:1\"}]",
+    "", "one of \"peers\" and \"seeds\"" },
+  { "\"data\": \"d\"", "", "one of \"peers\" and \"seeds\"" },
+  { "\"seeds\": [\"10.0.0.1:1\"]", "\"callers\": \"frontend\"",
+    "platform.callers" },
+  { "\"seeds\": [\"10.0.0.1:1\"]", "\"orders\": 7", "platform.orders" },
+  { "\"seeds\": [\"10.0.0.1:1\"]", "\"caller\": \"10.0.0.9:1\"",
+    "platform.caller" },
+  { "\"seeds\": [\"10.0.0.1:1\"]", "\"close_idle_ms\": -1",
+    "platform.close_idle_ms" },
+};
+
+static GmKind
+read_settings (const char *control, const char *platform, GmStatus *status)
+{
+  g_autofree char *text = g_strdup_printf (
+      "// as deploy/ writes them\n{\"host\": \"h\", \"data_centre\": \"d\", "
+      "\"cluster_key\": \"sixteen bytes or more\", \"listen\": {\"link\": "
+      "\"10.0.0.9:7440\"}, \"roles\": [\"pool\"], \"control\": {%s}, "
+      "\"platform\": {%s}}",
+      control, platform);
+  g_autofree char *path = NULL;
+  int fd = g_file_open_tmp ("settings-XXXXXX", &path, NULL);
+  g_assert_cmpint (fd, >=, 0);
+  g_assert_true (g_close (fd, NULL));
+  g_assert_true (g_file_set_contents (path, text, -1, NULL));
+  g_autoptr (CfSettings) settings = cf_settings_read (path, status);
+  g_assert_cmpint (g_unlink (path), ==, 0);
+  if (settings == NULL)
+    return status->kind;
+  g_autoptr (PtSettings) edges
+      = pt_settings_read (settings->document, settings->platform, status);
+  if (edges == NULL)
+    return status->kind;
+  const CfPeer *seed = g_ptr_array_index (settings->peers, 0);
+  g_assert_true (settings->seeded);
+  g_assert_cmpuint (seed->address.port, ==, 7440);
+  g_assert_cmpuint (edges->callers.port, ==, 8784);
+  g_assert_null (edges->control.ip);
+  return GM_OK;
+}
+
+static void
+test_settings (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (settings_rows); i++)
+    {
+      GmStatus status = { GM_OK, "" };
+      GmKind kind = read_settings (settings_rows[i].control,
+                                   settings_rows[i].platform, &status);
+      g_assert_cmpint (kind == GM_OK, ==, settings_rows[i].says == NULL);
+      if (kind != GM_OK
+          && strstr (status.message, settings_rows[i].says) == NULL)
+        g_error ("%s: %s", settings_rows[i].says, status.message);
+    }
+}
+
 static const char *const seeds_of_garbage[]
     = { "QUERY 5c0e PREPARE s1 WRITE q2c\r\n",
         "READY I 3.1207\r\nROW a\r\nERR BUSY x\r\nDONE 7.1\r\n",
@@ -528,6 +601,7 @@
   g_test_add_func ("/platform/manifest", test_manifest);
   g_test_add_func ("/platform/bad-manifests", test_bad_manifests);
   g_test_add_func ("/platform/announcements", test_announcements);
+  g_test_add_func ("/platform/settings", test_settings);
   g_test_add_func ("/platform/garbage", test_garbage);
   return g_test_run ();
 }
