--- a/Makefile
+++ b/Makefile
@@ -29,17 +29,18 @@
 	@cd $(BUILD) && ctest --output-on-failure
 
 format:
-	@git ls-files "*.c" "*.h" | xargs clang-format -i
 	@git ls-files '*.c' '*.h' | xargs clang-format -i
 
 lint: all
 	@git ls-files '*.c' '*.h' | xargs clang-format --dry-run -Werror
 	@git ls-files '*.c' | xargs -P $$(nproc) -n 4 clang-tidy -p $(BUILD) --quiet 2>/dev/null
 
-# The fuzzer: SEED and STEPS choose the schedule, SEEDS how many from SEED on.
+# The fuzzers, one of the product's own databases, one of the platform's: SEED
+# and STEPS choose the schedule, SEEDS how many from SEED on.
 SEEDS ?= 1
 fuzz: all
 	@$(BUILD)/fuzz --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
+	@$(BUILD)/sessions --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
 
 mutants: install-packages
 	@mkdir -p build-mutants
