--- a/tests/fuzz/session_control.c
+++ b/tests/fuzz/session_control.c
@@ -37,6 +37,7 @@
   if (pool->core == NULL && mine && d != NULL)
     {
       pool->core = pl_new (&policy);
+      pool->generation++;
       pool->incarnation = d->incarnation;
     }
   if (pool->core == NULL)
--- a/tests/fuzz/session_pools.c
+++ b/tests/fuzz/session_pools.c
@@ -4,7 +4,7 @@
 typedef struct
 {
   Pool *pool;
-  PlCore *core; /* that it belongs to: the pool may be another by then */
+  guint64 generation; /* of the core that it belongs to */
   guint64 conn;
   MdResult result;
   char *signature;
@@ -14,7 +14,7 @@
 static gboolean
 is_current (const Exchange *x)
 {
-  return x->pool->core == x->core;
+  return x->pool->core != NULL && x->pool->generation == x->generation;
 }
 
 static void
@@ -58,7 +58,7 @@
       = uid != 0 ? g_hash_table_lookup (w->statements, &uid) : NULL;
   Exchange *x = g_new0 (Exchange, 1);
   x->pool = pool;
-  x->core = pool->core;
+  x->generation = pool->generation;
   x->conn = action->connection;
   x->signature = g_strdup (r->id);
   x->lost = !w->calm && sw_chance (w, 10);
@@ -133,7 +133,7 @@
         {
           Exchange *x = g_new0 (Exchange, 1);
           x->pool = pool;
-          x->core = pool->core;
+          x->generation = pool->generation;
           x->conn = action.connection;
           sw_at (w, w->now + sw_delay (w, 20 * GM_MS), conn_opens, x);
         }
--- a/tests/fuzz/sessions.h
+++ b/tests/fuzz/sessions.h
@@ -23,6 +23,7 @@
 {
   Host *host;
   PlCore *core;
+  guint64 generation; /* of the core: addresses are used again */
   MdDatabase *database;
   guint64 incarnation;
   GHashTable *conns;        /* number -> MdConn */
