A database is written to only once it is known to lead; each order has its own token

Ruled out: comparing the databases' terms before a choice; the late order may come after it. Change: entry hosts send statements to a chosen database only once its lead is committed, by the order's answer or, where that is lost, by its own word. An order without a clear answer is chosen and ordered again under a higher token, so that the earlier one is fenced off; test_takeover asked for the same token again, which leaves the first one open, and now asks for a higher one. Seals count for 500 ms only, since a restart ends them; a database that leads in the term being sealed opens a later one.

--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -42,7 +42,8 @@
   DaemonTask task;
   Daemon *daemon;
   DbOpen open;
-  GHashTable *pools; /* database id -> Pool */
+  GHashTable *pools;    /* database id -> Pool */
+  guint64 transactions; /* begun, by all pools ever */
   GmTime ticked;
   GmTime report_due;
   GmTime reported;
@@ -223,7 +224,7 @@
     return NULL;
   Pool *pool = g_new0 (Pool, 1);
   pool->pools = p;
-  pool->core = pl_new (&policy);
+  pool->core = pl_new (&policy, &p->transactions);
   pool->id = g_strdup (database->id);
   pool->group = g_strdup (database->group);
   pool->address = address;
--- a/lib/base/mutant.h
+++ b/lib/base/mutant.h
@@ -37,6 +37,7 @@
   X (LEAD_UNPROVED, "a read trusts a primary that may have been replaced")    \
   X (TOKEN_SHARED, "a leader orders under its predecessor's token")           \
   X (UNSEAL_EARLY, "replicas hear the old primary before the new one leads")  \
+  X (UNSETTLED_SERVES, "a database is written to before it is known to lead") \
   X (OLD_SAMPLE, "a read's position may be older than its age bound")
 
 typedef enum
--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -349,8 +349,8 @@
                GmStatus *outcome)
 {
   CsGroup *group = g_hash_table_lookup (state->groups, c->group);
-  /* Another leader may choose the same one again, to order it itself.  */
-  gboolean again = group != NULL && !group->settled && c->round > group->round
+  /* The same one may be chosen again, for an order under a higher token.  */
+  gboolean again = group != NULL && !group->settled && c->round >= group->round
                    && strcmp (group->primary, c->id) == 0;
   if (group == NULL || c->term != group->term
       || (*group->primary != '\0' && !again))
--- a/lib/failover/takeover.c
+++ b/lib/failover/takeover.c
@@ -20,6 +20,7 @@
   GmTime answered; /* the last call that it answered; 0: none */
   GmTime failed;   /* the last call that it did not answer; 0: none */
   gboolean known;  /* status is set */
+  GmTime known_at; /* when it was */
   FoDatabase status;
 } Seen;
 
@@ -31,6 +32,8 @@
   GmTime sealing_since;
   guint64 order_token; /* on its way; 0: none */
   guint64 refused;     /* highest token that was refused */
+  guint64 unclear;     /* highest token whose order got no clear answer */
+  GmTime told;         /* when the promotion was last proposed as done */
   GmTime order_sent;
   GmTime order_at;
   guint64 unsealed_term; /* replicas were told to receive again */
@@ -133,6 +136,7 @@
       group->name = g_strdup (name);
       group->settled_at = G_MININT64 / 2;
       group->proposed = G_MININT64 / 2;
+      group->told = G_MININT64 / 2;
       g_hash_table_insert (core->groups, group->name, group);
     }
   return group;
@@ -208,6 +212,21 @@
     return;
   seen->status = *status;
   seen->known = TRUE;
+  seen->known_at = now;
+}
+
+/* Proposes that the choice under TOKEN leads.  */
+static void
+tell_promoted (ToCore *core, GmTime now, Group *group, guint64 token)
+{
+  if (now < group->told + TO_PROPOSE_RETRY)
+    return;
+  WmMessage command
+      = { .type = WM_TYPE_CMD_PROMOTED,
+          .cmd_promoted = { .group = group->name, .token = token } };
+  wm_queue_put (&core->commands, &command);
+  group->told = now;
+  group->settled_at = now;
 }
 
 void
@@ -221,14 +240,12 @@
   group->order_at = now + TO_ORDER_RETRY;
   if (end == TO_REFUSED)
     group->refused = MAX (group->refused, token);
+  if (end == TO_UNKNOWN)
+    group->unclear = MAX (group->unclear, token);
   if (end != TO_DONE)
     return;
-  WmMessage command
-      = { .type = WM_TYPE_CMD_PROMOTED,
-          .cmd_promoted = { .group = group->name, .token = token } };
-  wm_queue_put (&core->commands, &command);
+  tell_promoted (core, now, group, token);
   group->order_at = now + TO_ORDER_TIME;
-  group->settled_at = now;
 }
 
 static ToAction *
@@ -430,10 +447,13 @@
   order_term (core, now, when, state, group, own, reason);
 }
 
+/* A seal ends with its replica's restart, so that seals count only together
+   and for a while.  */
 static gboolean
-is_sealed (const Seen *seen, guint64 term)
+is_sealed (const Seen *seen, GmTime now, guint64 term)
 {
-  return seen->known && !seen->status.primary && seen->status.held >= term;
+  return seen->known && !seen->status.primary && seen->status.held >= term
+         && now < seen->known_at + TO_SEAL_FRESH;
 }
 
 static int
@@ -460,7 +480,7 @@
       const CsDatabase *d = g_ptr_array_index (all, i);
       Seen *seen = seen_of (core, d->id);
       gboolean old = strcmp (d->id, group->avoid) == 0;
-      if (!is_sealed (seen, group->term))
+      if (!is_sealed (seen, now, group->term))
         {
           if (may_call (seen, now)
               && (!old || now >= own->sealing_since + TO_OLD_GRACE))
@@ -499,6 +519,23 @@
   wm_queue_put (&core->commands, &command);
 }
 
+/* Whether a database leads in the term that is being sealed, or a later one:
+   its replicas can't be sealed under this term.  */
+static gboolean
+leads_already (ToCore *core, const CsState *state, const CsGroup *group)
+{
+  g_autoptr (GPtrArray) all = databases_of (state, group->group, NULL);
+  for (guint i = 0; i < all->len; i++)
+    {
+      const CsDatabase *d = g_ptr_array_index (all, i);
+      const Seen *seen = seen_of (core, d->id);
+      if (seen->known && seen->status.primary
+          && seen->status.term >= group->term)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 choose_primary (ToCore *core, GmTime now, guint64 when, const CsState *state,
                 const CsGroup *group, Group *own)
@@ -515,6 +552,12 @@
   if (old != NULL && old->leaving && last->reachable && last->open > 0
       && now < own->sealing_since + TO_LEAVE_GRACE)
     return;
+  if (leads_already (core, state, group))
+    {
+      order_term (core, now, when, state, group, own,
+                  "an earlier order was carried out late");
+      return;
+    }
   const CsDatabase *best;
   guint sealed = seal (core, now, state, group, own, &best);
   if (best == NULL)
@@ -526,6 +569,44 @@
   choose (core, now, when, group, own, best);
 }
 
+/* Whether CHOSEN says that it leads; asks it.  It was a replica when it was
+   chosen, so that it leads by an order, whatever became of the answer.  */
+static gboolean
+says_it_leads (ToCore *core, GmTime now, const Group *own,
+               const CsDatabase *chosen)
+{
+  Seen *seen = seen_of (core, chosen->id);
+  if (seen->known && seen->status.primary)
+    return TRUE;
+  if (may_call (seen, now))
+    call (core, now, own, chosen, FO_CALL_STATUS, 0);
+  return FALSE;
+}
+
+/* Sends the order under the token of the choice.  An earlier one without a
+   clear answer may still be carried out: each is sent once, and the next has a
+   higher token.  */
+static void
+send_order (ToCore *core, GmTime now, guint64 when, const CsGroup *group,
+            Group *own, const CsDatabase *chosen)
+{
+  if (own->order_token != 0 && now >= own->order_sent + TO_ORDER_TIME)
+    {
+      own->unclear = MAX (own->unclear, own->order_token);
+      own->order_token = 0;
+    }
+  if (own->order_token != 0 || now < own->order_at)
+    return;
+  if (own->unclear >= group->decided)
+    {
+      choose (core, now, when, group, own, chosen);
+      return;
+    }
+  own->order_token = group->decided;
+  own->order_sent = now;
+  push_action (core, TO_ORDER, own, chosen)->token = group->decided;
+}
+
 /* Orders the promotion that this leader has chosen; chooses anew what another
    one left undone.  */
 static void
@@ -547,13 +628,10 @@
       choose (core, now, when, group, own, chosen);
       return;
     }
-  if (own->order_token != 0 && now < own->order_sent + TO_ORDER_TIME)
-    return;
-  if (now < own->order_at)
-    return;
-  own->order_token = group->decided;
-  own->order_sent = now;
-  push_action (core, TO_ORDER, own, chosen)->token = group->decided;
+  if (says_it_leads (core, now, own, chosen))
+    tell_promoted (core, now, own, group->decided);
+  else
+    send_order (core, now, when, group, own, chosen);
 }
 
 void
--- a/lib/failover/takeover.h
+++ b/lib/failover/takeover.h
@@ -9,8 +9,13 @@
 
    The fencing token of an order is the log index of the choice: it grows over
    leaders and over choices.  A leader orders only what it has itself chosen in
-   its present control term; what another one left undone is chosen anew, so
-   that no two holders use the same token.
+   its present control term, and each choice once; what another one left
+   undone, or got no clear answer, is chosen anew, so that no two holders use
+   the same token and that a late order is refused.
+
+   A group whose choice is not known to lead has no primary for callers: what
+   is chosen and given up again may yet be promoted by a late order, and must
+   have taken no write then.
 
    A primary that seems silent is asked by the leader itself before it is
    replaced: one that answers, if only that it is busy, is alive.
@@ -35,6 +40,9 @@
 #define TO_REPORT_OLD (1 * GM_SECOND) /* two reports missed */
 #define TO_CALL_TIME (250 * GM_MS)    /* for an answer of a database */
 #define TO_CALL_RETRY (50 * GM_MS)
+/* An answer that is missed, and one more try: a replica takes longer to start
+   again than that.  */
+#define TO_SEAL_FRESH (500 * GM_MS)
 #define TO_ORDER_TIME (1500 * GM_MS) /* the platform may be slow */
 #define TO_ORDER_RETRY (300 * GM_MS)
 /* After a promotion, for the new primary and its replicas to find each other.
--- a/lib/pool/core.h
+++ b/lib/pool/core.h
@@ -59,8 +59,8 @@
   TkPoint lead;
   GmTime lead_at;
   guint64 next_conn;
-  guint64 next_transaction;
-  GQueue actions; /* PlAction * */
+  guint64 *transactions_ever; /* of the process's pools; the shell's */
+  GQueue actions;             /* PlAction * */
 };
 
 /* connections.c  */
--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -25,9 +25,10 @@
 }
 
 PlCore *
-pl_new (const DpPolicy *policy)
+pl_new (const DpPolicy *policy, guint64 *transactions)
 {
   PlCore *core = g_new0 (PlCore, 1);
+  core->transactions_ever = transactions;
   core->policy = *policy;
   core->owned = TRUE;
   core->slots = 1;
@@ -426,7 +427,7 @@
   else if (outcome->in_transaction)
     {
       transaction = g_new0 (PlTransaction, 1);
-      transaction->id = ++core->next_transaction;
+      transaction->id = ++*core->transactions_ever;
       transaction->conn = conn;
       transaction->touched = now;
       conn->transaction = transaction;
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -102,8 +102,10 @@
   guint connections;
 } PlCounts;
 
-/* A pool that opens connections once pl_limits says how many.  */
-PlCore *pl_new (const DpPolicy *policy);
+/* A pool that opens connections once pl_limits says how many.  TRANSACTIONS
+   counts those of all pools of a process and outlives them: a session that
+   still names one of a pool that is gone must not reach another's.  */
+PlCore *pl_new (const DpPolicy *policy, guint64 *transactions);
 /* Frees CORE and all requests in it, unanswered.  */
 void pl_free (PlCore *core);
 void pl_set_floors (PlCore *core, const double floors[CF_RANK_COUNT]);
--- a/lib/session/router.c
+++ b/lib/session/router.c
@@ -202,6 +202,7 @@
   (void)router;
   const CsGroup *group = cs_group (state, name);
   return group != NULL && *group->primary != '\0'
+                 && (group->settled || GM_MUTANT (UNSETTLED_SERVES))
              ? g_hash_table_lookup (state->databases, group->primary)
              : NULL;
 }
--- a/lib/session/router.h
+++ b/lib/session/router.h
@@ -41,7 +41,7 @@
                    TkPoint *point, GmTime *at);
 /* When the newest position of GROUP was taken; 0: none is known.  */
 GmTime sr_newest (const SrRouter *router, const char *group);
-/* The primary of GROUP, or NULL.  */
+/* The primary of GROUP, or NULL when none is known to lead.  */
 const CsDatabase *sr_primary (const SrRouter *router, const CsState *state,
                               const char *group);
 /* The database of GROUP that is expected to answer a read first, which
--- a/standin/replicas.c
+++ b/standin/replicas.c
@@ -223,10 +223,14 @@
     md_broken (g, "two holders promote under the same token");
   if (token < g->fence)
     return FALSE;
+  /* Whether an order that is refused because its database doesn't run raises
+     the fence is not said; the worse is assumed.  */
+  const MdDatabase *chosen = find_database (g, id);
+  if (chosen == NULL || !chosen->up)
+    return FALSE;
   g->fence = token;
   g_strlcpy (g->fence_holder, holder, sizeof g->fence_holder);
-  const MdDatabase *chosen = find_database (g, id);
-  return chosen != NULL && chosen->up;
+  return TRUE;
 }
 
 gboolean
--- a/tests/fuzz/session_control.c
+++ b/tests/fuzz/session_control.c
@@ -36,7 +36,7 @@
     pool_close (w, pool);
   if (pool->core == NULL && mine && d != NULL)
     {
-      pool->core = pl_new (&policy);
+      pool->core = pl_new (&policy, &host->transactions);
       pool->generation++;
       pool->incarnation = d->incarnation;
     }
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -52,7 +52,8 @@
 {
   static const DpPolicy policy
       = { .order = DQ_FLOORS, .admission = TRUE, .extra = 1 };
-  Bench b = { .core = pl_new (&policy),
+  static guint64 transactions;
+  Bench b = { .core = pl_new (&policy, &transactions),
               .now = START,
               .service = { .name = (char *)"s", .rank = CF_URGENT } };
   b.answers = g_ptr_array_new_with_free_func ((GDestroyNotify)pl_request_free);
@@ -245,6 +246,26 @@
   bench_free (&b);
 }
 
+/* A session whose pool has gone still names its transaction: the next pool of
+   the process has begun another one, and must not take it for that.  */
+static void
+test_transaction_of_pool_before (void)
+{
+  Bench gone = bench_new (20);
+  guint64 transaction = begin (&gone);
+  bench_free (&gone);
+  Bench b = bench_new (20);
+  guint64 other = begin (&b);
+  g_assert_cmpuint (other, !=, transaction);
+  PlRequest *late = request (&b, PL_COMMIT, transaction);
+  submit (&b, late);
+  g_assert_cmpint (late->kind, ==, GM_TRANSACTION_LOST);
+  PlCounts counts;
+  pl_counts (b.core, &counts);
+  g_assert_cmpuint (counts.transactions, ==, 1);
+  bench_free (&b);
+}
+
 /* A rollback gives the connection back: closing it would cost a handshake.  */
 static void
 test_rollback_keeps_connection (void)
@@ -423,6 +444,7 @@
   g_test_add_func ("/pool/transaction", test_transaction_keeps_connection);
   g_test_add_func ("/pool/idle-transaction", test_idle_transaction_ends);
   g_test_add_func ("/pool/rollback", test_rollback_keeps_connection);
+  g_test_add_func ("/pool/pool-before", test_transaction_of_pool_before);
   g_test_add_func ("/pool/lead", test_lead);
   g_test_add_func ("/pool/flood", test_flood);
   g_test_add_func ("/pool/overdue", test_overdue);
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -324,6 +324,38 @@
   bench_free (&b);
 }
 
+/* A chosen database takes no statement before it is known to lead: a choice
+   may be given up, and its order carried out late.  */
+static void
+test_unsettled (void)
+{
+  Bench b = bench_new ("primary");
+  WmMessage term
+      = { .type = WM_TYPE_CMD_TERM,
+          .cmd_term
+          = { .group = (char *)"g", .term = 2, .reason = (char *)"test" } };
+  WmMessage choice = { .type = WM_TYPE_CMD_PRIMARY,
+                       .cmd_primary = { .group = (char *)"g",
+                                        .term = 2,
+                                        .id = (char *)"db2",
+                                        .holder = (char *)"c1",
+                                        .round = 1 } };
+  cs_apply (b.state, b.state->version + 1, &term, NULL);
+  cs_apply (b.state, b.state->version + 1, &choice, NULL);
+  guint64 token = b.state->version;
+  take (&b, SN_WRITE, NULL, NULL);
+  g_assert_cmpint (b.step.next, ==, SN_WAIT);
+  WmMessage promoted
+      = { .type = WM_TYPE_CMD_PROMOTED,
+          .cmd_promoted = { .group = (char *)"g", .token = token } };
+  cs_apply (b.state, b.state->version + 1, &promoted, NULL);
+  sn_step_clear (&b.step);
+  sn_retry (b.session, &b.world, &b.step);
+  g_assert_cmpint (b.step.next, ==, SN_SEND);
+  g_assert_cmpstr (b.step.statement.statement.database, ==, "db2");
+  bench_free (&b);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -335,5 +367,6 @@
   g_test_add_func ("/session/script", test_script);
   g_test_add_func ("/session/failed-transaction", test_failed_transaction);
   g_test_add_func ("/session/no-primary", test_no_primary);
+  g_test_add_func ("/session/unsettled", test_unsettled);
   return g_test_run ();
 }
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -231,8 +231,8 @@
     }
 }
 
-/* An order's token grows with each choice; one that was refused is not used
-   again.  */
+/* Each attempt at an order has a token of its own: one without a clear answer
+   may still be carried out, and only a higher token fences it off.  */
 static void
 test_tokens (void)
 {
@@ -246,12 +246,15 @@
   g_assert_cmpstr (b.ordered, ==, "db1");
   guint64 first = b.token;
   g_assert_cmpuint (first, ==, cs_group (b.state, "g")->decided);
-  /* Without a clear answer the same order is sent again.  */
+  /* Without a clear answer the same database is ordered again.  */
   to_ordered (b.core, b.now, "g", first, TO_UNKNOWN);
   b.now += TO_ORDER_RETRY;
   look (&b);
+  look (&b);
   g_assert_cmpuint (b.orders, ==, 2);
-  g_assert_cmpuint (b.token, ==, first);
+  g_assert_cmpstr (b.ordered, ==, "db1");
+  g_assert_cmpuint (b.token, >, first);
+  first = b.token;
   /* Refused: a new term, a new choice, a higher token.  */
   to_ordered (b.core, b.now, "g", first, TO_REFUSED);
   b.now += TO_SPACING;
@@ -291,6 +294,82 @@
   bench_free (&b);
 }
 
+/* When a chosen database counts as the group's primary: by the order's answer,
+   or by its own word where that answer is lost.  */
+static const struct
+{
+  gboolean answered; /* the order */
+  gboolean leads;    /* as the database says */
+  gboolean settled;
+} settlements[] = {
+  { FALSE, FALSE, FALSE },
+  { TRUE, FALSE, TRUE },
+  { FALSE, TRUE, TRUE },
+};
+
+static void
+test_settled (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (settlements); i++)
+    {
+      Bench b = bench_new ();
+      depose (&b);
+      seal (&b, "db1", 1, 41);
+      seal (&b, "db2", 1, 40);
+      look (&b);
+      look (&b);
+      if (settlements[i].answered)
+        to_ordered (b.core, b.now, "g", b.token, TO_DONE);
+      b.calls[FO_CALL_STATUS] = 0;
+      b.now += 100 * GM_MS;
+      look (&b);
+      g_assert_cmpuint (b.calls[FO_CALL_STATUS], >, 0);
+      FoDatabase status = { .primary = settlements[i].leads, .term = 2 };
+      to_called (b.core, b.now, "db1", TRUE, &status);
+      look (&b);
+      g_assert_cmpint (cs_group (b.state, "g")->settled, ==,
+                       settlements[i].settled);
+      bench_free (&b);
+    }
+}
+
+/* A seal ends with its replica's restart: it counts only while it is fresh. */
+static void
+test_old_seal (void)
+{
+  Bench b = bench_new ();
+  depose (&b);
+  seal (&b, "db1", 1, 41);
+  look (&b);
+  b.now += 5 * GM_SECOND;
+  seal (&b, "db2", 1, 40);
+  guint asked = b.calls[FO_CALL_SEAL];
+  look (&b);
+  g_assert_cmpstr (primary (&b), ==, "");
+  g_assert_cmpuint (b.calls[FO_CALL_SEAL], >, asked);
+  seal (&b, "db1", 1, 42);
+  look (&b);
+  g_assert_cmpstr (primary (&b), ==, "db1");
+  bench_free (&b);
+}
+
+/* An order of an earlier term that is carried out late makes a primary in the
+   term that is being sealed, where no seal takes effect: the group goes on to
+   a later one.  */
+static void
+test_late_order (void)
+{
+  Bench b = bench_new ();
+  depose (&b);
+  guint64 term = cs_group (b.state, "g")->term;
+  FoDatabase late = { .primary = TRUE, .term = term, .last_term = term };
+  to_called (b.core, b.now, "db1", TRUE, &late);
+  b.now += TO_SPACING;
+  look (&b);
+  g_assert_cmpuint (cs_group (b.state, "g")->term, >, term);
+  bench_free (&b);
+}
+
 /* A primary that announces that it leaves.  */
 static void
 test_leaving (void)
@@ -332,6 +411,9 @@
   g_test_add_func ("/takeover/choice", test_choice);
   g_test_add_func ("/takeover/tokens", test_tokens);
   g_test_add_func ("/takeover/next-leader", test_next_leader);
+  g_test_add_func ("/takeover/settled", test_settled);
+  g_test_add_func ("/takeover/old-seal", test_old_seal);
+  g_test_add_func ("/takeover/late-order", test_late_order);
   g_test_add_func ("/takeover/leaving", test_leaving);
   g_test_add_func ("/takeover/follower", test_follower);
   return g_test_run ();
