Settings are read again at SIGHUP and when the file changes

Change: daemon/reload watches the file (a stat each second); seeds and log level are taken over in a running process, other fields are named in GM105 and wait for the next start, a file that is refused changes nothing. Tests: table of versions in test_conf; four process cases in mid-transaction: changed with a signal, changed silently, torn, and the transaction that goes on.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -394,6 +394,19 @@
   return co_is_current (c->core, daemon_now (c->daemon), since);
 }
 
+static gboolean
+is_dialed (const Control *c, const CfAddress *address)
+{
+  for (guint i = 0; i < c->peers->len; i++)
+    {
+      const Peer *peer = g_ptr_array_index (c->peers, i);
+      if (peer->address.port == address->port
+          && strcmp (peer->address.ip, address->ip) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 add_peers (Control *c)
 {
@@ -401,11 +414,18 @@
   for (guint i = 0; i < listed->len; i++)
     {
       const CfPeer *from = g_ptr_array_index (listed, i);
-      add_peer (c, from->host, &from->address);
+      if (!is_dialed (c, &from->address))
+        add_peer (c, from->host, &from->address);
     }
   name_peers (c);
 }
 
+static void
+control_settings_changed (DaemonTask *task)
+{
+  add_peers ((Control *)task);
+}
+
 /* Whether this host is the first of the seeds, which founds the group.  All
    hosts are told the same seeds when the system starts for the first time.  */
 static gboolean
@@ -462,9 +482,11 @@
   g_free (c);
 }
 
-static const DaemonTaskClass control_class = { .message = control_message,
-                                               .link_down = control_link_down,
-                                               .free = control_free };
+static const DaemonTaskClass control_class
+    = { .message = control_message,
+        .link_down = control_link_down,
+        .settings_changed = control_settings_changed,
+        .free = control_free };
 
 Control *
 control_new (Daemon *daemon, gboolean bootstrap, GmStatus *status)
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -128,6 +128,17 @@
     }
 }
 
+void
+daemon_settings_changed (Daemon *daemon)
+{
+  for (guint i = 0; i < daemon->tasks->len; i++)
+    {
+      DaemonTask *task = g_ptr_array_index (daemon->tasks, i);
+      if (task->class->settings_changed != NULL)
+        task->class->settings_changed (task);
+    }
+}
+
 Daemon *
 daemon_new (const CfSettings *settings, GmStatus *status)
 {
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -23,6 +23,8 @@
   void (*link_down) (DaemonTask *task, guint64 number);
   /* This host's copy of the control state changed.  */
   void (*state_changed) (DaemonTask *task);
+  /* The control hosts that the settings name have changed.  */
+  void (*settings_changed) (DaemonTask *task);
   /* A planned stop began.  */
   void (*draining) (DaemonTask *task);
   /* Requests and transactions in progress, which a planned stop waits for.  */
@@ -63,6 +65,8 @@
 void daemon_add (Daemon *daemon, DaemonTask *task);
 /* Tells all tasks that the control state changed.  */
 void daemon_state_changed (Daemon *daemon);
+/* Tells all tasks that the settings name other control hosts.  */
+void daemon_settings_changed (Daemon *daemon);
 /* Begins a planned stop: no new work, then the end of the main loop once
    nothing is in progress or the drain time has passed.  */
 void daemon_drain (Daemon *daemon);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -6,6 +6,7 @@
 #include "platform/database.h"
 #include "platform/platform.h"
 #include "pools.h"
+#include "reload.h"
 #include "subscription.h"
 #include <argtable2.h>
 #include <glib-unix.h>
@@ -25,8 +26,8 @@
 static gboolean
 on_hangup (gpointer data)
 {
-  (void)data;
   gm_log_reopen ();
+  reload_now (data);
   return G_SOURCE_CONTINUE;
 }
 
@@ -95,7 +96,7 @@
     }
   g_unix_signal_add (SIGTERM, on_terminate, daemon);
   g_unix_signal_add (SIGINT, on_terminate, daemon);
-  g_unix_signal_add (SIGHUP, on_hangup, NULL);
+  g_unix_signal_add (SIGHUP, on_hangup, reload_new (daemon, path, settings));
   gm_log (GM_EV_STARTED, "%s, links at %s:%u", settings->host,
           settings->link.ip, settings->link.port);
   g_main_loop_run (daemon->loop);
--- /dev/null
+++ b/daemon/reload.c
@@ -0,0 +1,88 @@
+#include "reload.h"
+#include <glib/gstdio.h>
+
+#define WATCH_S 1 /* between two looks at the file: a second of old seeds */
+
+struct Reload
+{
+  DaemonTask task;
+  Daemon *daemon;
+  CfSettings *settings;
+  char *path;
+  GStatBuf seen; /* of the file that was read last */
+  guint timer;
+};
+
+void
+reload_now (Reload *r)
+{
+  GmStatus status;
+  g_autoptr (CfSettings) fresh = cf_settings_read (r->path, &status);
+  if (fresh == NULL)
+    {
+      gm_log (GM_EV_SETTINGS_REFUSED, "the former settings stay: %s",
+              status.message);
+      return;
+    }
+  guint changes = cf_settings_take (r->settings, fresh);
+  if (changes == 0)
+    return;
+  gm_log (GM_EV_SETTINGS_CHANGED, "%s%s%s",
+          (changes & CF_CHANGED_PEERS) != 0 ? "control hosts; " : "",
+          (changes & CF_CHANGED_LOG_LEVEL) != 0 ? "log level; " : "",
+          (changes & CF_CHANGED_REST) != 0
+              ? "other fields, which wait for the next start"
+              : "all in force");
+  if ((changes & CF_CHANGED_LOG_LEVEL) != 0)
+    gm_log_set_level (r->settings->log_level);
+  if ((changes & CF_CHANGED_PEERS) != 0)
+    daemon_settings_changed (r->daemon);
+}
+
+static gboolean
+has_changed (Reload *r)
+{
+  GStatBuf now;
+  /* A file that is being replaced may be away for a moment.  */
+  if (g_stat (r->path, &now) != 0)
+    return FALSE;
+  gboolean same = now.st_mtim.tv_sec == r->seen.st_mtim.tv_sec
+                  && now.st_mtim.tv_nsec == r->seen.st_mtim.tv_nsec
+                  && now.st_size == r->seen.st_size
+                  && now.st_ino == r->seen.st_ino;
+  r->seen = now;
+  return !same;
+}
+
+static gboolean
+watch (gpointer data)
+{
+  if (has_changed (data))
+    reload_now (data);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+reload_free (DaemonTask *task)
+{
+  Reload *r = (Reload *)task;
+  g_source_remove (r->timer);
+  g_free (r->path);
+  g_free (r);
+}
+
+static const DaemonTaskClass reload_class = { .free = reload_free };
+
+Reload *
+reload_new (Daemon *daemon, const char *path, CfSettings *settings)
+{
+  Reload *r = g_new0 (Reload, 1);
+  r->task.class = &reload_class;
+  r->daemon = daemon;
+  r->settings = settings;
+  r->path = g_strdup (path);
+  has_changed (r);
+  r->timer = g_timeout_add_seconds (WATCH_S, watch, r);
+  daemon_add (daemon, &r->task);
+  return r;
+}
--- a/daemon/subscription.c
+++ b/daemon/subscription.c
@@ -287,8 +287,16 @@
   subscription_beat ((Subscription *)task);
 }
 
+static void
+subscription_settings_changed (DaemonTask *task)
+{
+  list_addresses ((Subscription *)task);
+}
+
 static const DaemonTaskClass subscription_class
-    = { .draining = subscription_draining, .free = subscription_free };
+    = { .settings_changed = subscription_settings_changed,
+        .draining = subscription_draining,
+        .free = subscription_free };
 
 Subscription *
 subscription_new (Daemon *daemon)
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -72,6 +72,12 @@
   return TRUE;
 }
 
+void
+gm_log_set_level (const char *level)
+{
+  log4c_category_set_priority (category, log4c_priority_to_int (level));
+}
+
 void
 gm_log_reopen (void)
 {
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -12,6 +12,7 @@
   X (DRAINING, 102, INFO, "a stop was asked for; no new work is taken")       \
   X (SETTINGS_REFUSED, 103, ERROR, "the settings file was refused")           \
   X (LISTEN_FAILED, 104, ERROR, "a listening address could not be opened")    \
+  X (SETTINGS_CHANGED, 105, NOTICE, "the settings file changed")              \
   X (LINK_UP, 200, INFO, "a link to another host is up")                      \
   X (LINK_DOWN, 201, WARN, "a link to another host closed")                   \
   X (LINK_GARBAGE, 202, WARN, "a link was closed for a bad frame")            \
@@ -94,6 +95,8 @@
    "error", "warn", "notice", "info", "debug".  Returns FALSE when FILE can't
    be opened.  */
 gboolean gm_log_open (const char *file, const char *level);
+/* Sets the least level that is written.  */
+void gm_log_set_level (const char *level);
 /* Opens the log file anew after it was moved away.  */
 void gm_log_reopen (void);
 /* Closes the log.  */
--- a/lib/conf/settings.c
+++ b/lib/conf/settings.c
@@ -348,6 +348,72 @@
   return s;
 }
 
+/* The text of ROOT without what a running process takes over.  */
+static char *
+rest_of (json_object *root)
+{
+  json_object *copy = NULL, *section;
+  if (json_object_deep_copy (root, &copy, NULL) != 0)
+    return g_strdup ("");
+  if (json_object_object_get_ex (copy, "control", &section))
+    {
+      json_object_object_del (section, "peers");
+      json_object_object_del (section, "seeds");
+    }
+  if (json_object_object_get_ex (copy, "log", &section))
+    json_object_object_del (section, "level");
+  char *text = g_strdup (
+      json_object_to_json_string_ext (copy, JSON_C_TO_STRING_PLAIN));
+  json_object_put (copy);
+  return text;
+}
+
+static gboolean
+same_peers (const GPtrArray *a, const GPtrArray *b)
+{
+  for (guint i = 0; a->len == b->len && i < a->len; i++)
+    {
+      const CfPeer *x = g_ptr_array_index (a, i);
+      const CfPeer *y = g_ptr_array_index (b, i);
+      if (g_strcmp0 (x->host, y->host) != 0
+          || x->address.port != y->address.port
+          || strcmp (x->address.ip, y->address.ip) != 0)
+        return FALSE;
+    }
+  return a->len == b->len;
+}
+
+guint
+cf_settings_take (CfSettings *s, CfSettings *fresh)
+{
+  guint changes = 0;
+  g_autofree char *rest = rest_of (js_root (s->document));
+  g_autofree char *fresh_rest = rest_of (js_root (fresh->document));
+  if (strcmp (rest, fresh_rest) != 0)
+    changes |= CF_CHANGED_REST;
+  if (!same_peers (s->peers, fresh->peers))
+    {
+      GPtrArray *old = s->peers;
+      s->peers = fresh->peers;
+      fresh->peers = old;
+      changes |= CF_CHANGED_PEERS;
+    }
+  if (strcmp (s->log_level, fresh->log_level) != 0)
+    {
+      char *old = s->log_level;
+      s->log_level = fresh->log_level;
+      fresh->log_level = old;
+      changes |= CF_CHANGED_LOG_LEVEL;
+    }
+  /* The new text is what the next version is compared with.  The platform's
+     section keeps its place in the old one.  */
+  JsDocument *document = s->document;
+  s->document = fresh->document;
+  fresh->document = document;
+  s->platform = json_object_object_get (js_root (s->document), "platform");
+  return changes;
+}
+
 void
 cf_settings_free (CfSettings *s)
 {
--- a/lib/conf/settings.h
+++ b/lib/conf/settings.h
@@ -1,5 +1,6 @@
 /* The settings of one process of the daemon: its addresses, data centre, roles
-   and bounds.  Read once at start.  */
+   and bounds.  Read at start; what a running process takes over of a later
+   version is listed with cf_settings_take.  */
 #pragma once
 #include "base/clock.h"
 #include "json/json.h"
@@ -55,6 +56,17 @@
 /* Reads and checks the file PATH; NULL and STATUS on a fault.  Free the
    result with cf_settings_free.  */
 CfSettings *cf_settings_read (const char *path, GmStatus *status);
+/* What differs between two versions of a process's settings, as bits.  */
+enum
+{
+  CF_CHANGED_PEERS = 1,     /* the control hosts that the settings name */
+  CF_CHANGED_LOG_LEVEL = 2, /* from which on events are logged */
+  CF_CHANGED_REST = 4       /* anything else, which only a start takes over */
+};
+/* Takes the control hosts and the log level of FRESH over into SETTINGS, and
+   returns what differed.  What is left for the next start counts as different
+   once.  Both stay the caller's.  */
+guint cf_settings_take (CfSettings *settings, CfSettings *fresh);
 /* Frees SETTINGS; NULL is allowed.  */
 void cf_settings_free (CfSettings *settings);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (CfSettings, cf_settings_free)
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -20,7 +20,7 @@
 ready_port () { echo $((BASE + 40 + $1)); }
 seeds () {
   local n comma=
-  for n in 1 2 3; do printf '%s"127.0.0.1:%s"' "$comma" "$((BASE + n))"; comma=,; done
+  for n in 1 2 3; do printf '%s"127.0.0.1:%s"' "$comma" "$((BASE + n))"; comma=", "; done
 }
 
 # write_host NUMBER ROLE PLATFORM
@@ -238,6 +238,26 @@
 eventually 10 now_reads 3 12
 check newest-manifest-everywhere $?
 
+# The settings file changes, in mid-transaction: by a signal, without one, and
+# into something that can't be read.
+noted () { grep -q "$1" "$DIR/host4.log"; }
+open 3 4 orders && says 3 BEGIN "DONE -|" && says 3 "WRITE i 1" "DONE sig.*"
+sed -i "s/\"seeds\": \[[^,]*, */\"seeds\": [/; s/\"level\": \"info\"/\"level\": \"notice\"/" "$DIR/host4.json"
+signal host4 HUP
+eventually 10 noted "GM105.*control hosts; log level; all in force"
+check settings-read-at-signal $?
+sed -i "s/\"drain_ms\": 4000/\"drain_ms\": 3500/" "$DIR/host4.json"
+eventually 10 noted "GM105.*next start"
+check settings-changed-silently $?
+cp "$DIR/host4.json" "$DIR/host4.whole"
+head -c 100 "$DIR/host4.whole" >"$DIR/host4.json"
+eventually 10 noted "GM103.*former settings stay"
+check torn-settings-refused $?
+mv "$DIR/host4.whole" "$DIR/host4.json"
+says 3 "WRITE i 2" "DONE sig.*" && says 3 COMMIT "DONE sig.*"
+check settings-cut-nothing $? "$answer"
+close 3
+
 # A planned stop in mid-transaction: the transaction may end, idle sessions are
 # closed without an error, the process ends by itself.
 open 3 4 orders && says 3 BEGIN "DONE -|" && says 3 "WRITE h 1" "DONE sig.*"
--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -1,6 +1,8 @@
 /* Declarations: each file in tests/declarations tells in its first line what
-   the check must say.  */
+   the check must say.  Settings: what a running process takes over.  */
 #include "conf/declaration.h"
+#include "conf/settings.h"
+#include <glib/gstdio.h>
 #include <string.h>
 
 #define EXPECT "// expect: "
@@ -30,6 +32,65 @@
     g_error ("%s: \"%s\" instead of \"%s\"", path, status.message, expected);
 }
 
+/* Settings with three parts to change: seeds, log level, drain time.  */
+static CfSettings *
+settings_of (const char *seeds, const char *level, int drain_ms)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"host\": \"h\", \"data_centre\": \"d\", \"cluster_key\": \"a long "
+      "key of a test\", \"listen\": {\"link\": \"127.0.0.1:1\"}, \"roles\": "
+      "[\"pool\"], \"control\": {\"seeds\": [%s]}, \"log\": {\"level\": "
+      "\"%s\"}, \"limits\": {\"drain_ms\": %d}}",
+      seeds, level, drain_ms);
+  g_autofree char *path = NULL;
+  GmStatus status = { GM_OK, "" };
+  int file = g_file_open_tmp (NULL, &path, NULL);
+  g_assert_cmpint (file, >=, 0);
+  g_assert_true (g_close (file, NULL));
+  g_assert_true (g_file_set_contents (path, text, -1, NULL));
+  CfSettings *settings = cf_settings_read (path, &status);
+  g_assert_cmpstr (status.message, ==, "");
+  g_assert_cmpint (g_unlink (path), ==, 0);
+  return settings;
+}
+
+#define ONE "\"127.0.0.1:7\""
+#define TWO "\"127.0.0.1:7\", \"127.0.0.1:8\""
+
+static const struct
+{
+  const char *seeds;
+  const char *level;
+  int drain_ms;
+  guint changes;
+} versions[] = {
+  { ONE, "info", 1000, 0 },
+  { TWO, "info", 1000, CF_CHANGED_PEERS },
+  { TWO, "warn", 1000, CF_CHANGED_LOG_LEVEL },
+  { TWO, "warn", 2000, CF_CHANGED_REST },
+  { TWO, "warn", 2000, 0 },
+  { ONE, "info", 3000,
+    CF_CHANGED_PEERS | CF_CHANGED_LOG_LEVEL | CF_CHANGED_REST },
+};
+
+/* One version after the other is taken over by the same process.  */
+static void
+test_settings_take (void)
+{
+  g_autoptr (CfSettings) settings = settings_of (ONE, "info", 1000);
+  for (guint i = 0; i < G_N_ELEMENTS (versions); i++)
+    {
+      g_autoptr (CfSettings) fresh = settings_of (
+          versions[i].seeds, versions[i].level, versions[i].drain_ms);
+      g_assert_cmpuint (cf_settings_take (settings, fresh), ==,
+                        versions[i].changes);
+      g_assert_cmpuint (settings->peers->len, ==,
+                        strcmp (versions[i].seeds, ONE) == 0 ? 1 : 2);
+      g_assert_cmpstr (settings->log_level, ==, versions[i].level);
+      g_assert_cmpint (settings->drain_ms, ==, 1000);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -44,5 +105,6 @@
           = g_build_filename (SOURCE_DIR "/tests/declarations", name, NULL);
       g_test_add_data_func_full (test, path, check_file, g_free);
     }
+  g_test_add_func ("/settings/take", test_settings_take);
   return g_test_run ();
 }
