Control hosts that are gone are removed; one that was cut off comes back by itself

After three replacements five hosts vote as eight, and the loss of one more stops control. A removed host that was merely cut off believed to be a member and never asked to join. Change: the leader removes a member that is silent for 15 s, after 3 s where the voters are even in number, while voters_min voters are left and answer; a voter without a leader for 1.2 s asks to join.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -455,7 +455,7 @@
   GmTime now = daemon_now (c->daemon);
   co_set_voters_min (c->core, (guint)settings->voters_min);
   if (settings->seeded)
-    cl_set_unique_hosts (log);
+    cl_set_unique_hosts (log, (guint)settings->voters_min);
   if (bootstrap)
     return cl_bootstrap (log, now, status);
   /* A log that is not empty belongs to a group already.  */
--- a/daemon/reload.h
+++ b/daemon/reload.h
@@ -1,7 +1,7 @@
 /* The settings file is read again at SIGHUP, and when it changes without a
-   signal.  The control hosts that it names and the log's level are taken over at
-   once; the rest is for the next start, and named in the log.  A file that is
-   refused changes nothing.  */
+   signal.  The control hosts that it names and the log's level are taken over
+   at once; the rest is for the next start, and named in the log.  A file that
+   is refused changes nothing.  */
 #pragma once
 #include "daemon.h"
 
--- a/lib/clog/change.c
+++ b/lib/clog/change.c
@@ -107,3 +107,53 @@
   g_ptr_array_remove (members, old);
   return change_members (core, now, members, status);
 }
+
+/* Since when MEMBER has said nothing to this leader.  */
+static GmTime
+silent_since (ClCore *core, const ClMember *member)
+{
+  return MAX (cl_progress_of (core, member->host)->acked, core->lead_since);
+}
+
+/* Voters, this host among them, that answered within an election.  */
+static guint
+count_live (ClCore *core, GmTime now)
+{
+  guint live = 0;
+  for (guint i = 0; i < core->members->len; i++)
+    {
+      const ClMember *m = g_ptr_array_index (core->members, i);
+      gboolean self = strcmp (m->host, core->host) == 0;
+      if (m->voter
+          && (self
+              || now < cl_progress_of (core, m->host)->acked + CL_ELECTION_MIN
+                           + CL_ELECTION_SPREAD))
+        live++;
+    }
+  return live;
+}
+
+void
+cl_remove_gone (ClCore *core, GmTime now)
+{
+  guint voters = cl_voter_count (core);
+  const ClMember *gone = NULL;
+  if (!core->unique_hosts || !cl_members_settled (core)
+      || !cl_commits_own_term (core))
+    return;
+  for (guint i = 0; i < core->members->len; i++)
+    {
+      const ClMember *m = g_ptr_array_index (core->members, i);
+      GmTime patience = m->voter && voters % 2 == 0 ? CL_GONE_EVEN : CL_GONE;
+      if (strcmp (m->host, core->host) != 0
+          && now >= silent_since (core, m) + patience
+          && (gone == NULL
+              || silent_since (core, m) < silent_since (core, gone)))
+        gone = m;
+    }
+  if (gone == NULL
+      || (gone->voter && count_live (core, now) < core->voters_least))
+    return;
+  g_autofree char *host = g_strdup (gone->host);
+  cl_remove (core, now, host, NULL);
+}
--- a/lib/clog/clog.c
+++ b/lib/clog/clog.c
@@ -1,4 +1,5 @@
 #include "core.h"
+#include "base/mutant.h"
 #include <string.h>
 
 guint64
@@ -147,9 +148,10 @@
 }
 
 void
-cl_set_unique_hosts (ClCore *core)
+cl_set_unique_hosts (ClCore *core, guint voters_least)
 {
   core->unique_hosts = TRUE;
+  core->voters_least = voters_least;
 }
 
 void
@@ -225,7 +227,10 @@
       return;
     }
   if (now >= core->heartbeat_due)
-    cl_broadcast (core, now);
+    {
+      cl_remove_gone (core, now);
+      cl_broadcast (core, now);
+    }
 }
 
 static void
@@ -240,17 +245,29 @@
     cl_queue_send (core, g_ptr_array_index (core->peers, i), &m);
 }
 
+/* Whether this host is outside the group, or may be without knowing.  */
+static gboolean
+is_outside (const ClCore *core, GmTime now)
+{
+  return cl_known_member (core, core->host, core->disk) == NULL
+         || (core->unique_hosts && now >= core->heard + CL_ALONE
+             && !GM_MUTANT (STAY_OUT));
+}
+
 void
 cl_tick (ClCore *core, GmTime now)
 {
   if (core->failure.kind != GM_OK)
     return;
   if (core->role == CL_LEADER)
-    tick_leader (core, now);
-  else if (now >= core->election_due && cl_is_voter (core))
+    {
+      tick_leader (core, now);
+      return;
+    }
+  if (now >= core->election_due && cl_is_voter (core))
     cl_campaign (core, now, TRUE);
-  else if (cl_known_member (core, core->host, core->disk) == NULL
-           && now >= core->join_due)
+  if (core->role != CL_LEADER && is_outside (core, now)
+      && now >= core->join_due)
     ask_to_join (core, now);
 }
 
--- a/lib/clog/clog.h
+++ b/lib/clog/clog.h
@@ -23,6 +23,15 @@
 #define CL_FIRST_ELECTION_MIN (100 * GM_MS)
 #define CL_FIRST_ELECTION_SPREAD (150 * GM_MS)
 #define CL_JOIN_INTERVAL (200 * GM_MS)
+/* A voter that hears no leader for so long asks to join: it may have been
+   removed while it was cut off.  Two elections take less.  */
+#define CL_ALONE (1200 * GM_MS)
+/* A member that is silent for so long is gone: a deployment has 12 s to
+   recover from the loss of all its hosts.  */
+#define CL_GONE (15 * GM_SECOND)
+/* The same where the voters are even in number, so that one fewer bears as
+   many losses: longer than a process takes to start again.  */
+#define CL_GONE_EVEN (3 * GM_SECOND)
 #define CL_KEEP_ENTRIES                                                       \
   64 /* entries kept behind a snapshot: what a host is                        \
         behind after a second of a busy day */
@@ -117,8 +126,10 @@
 void cl_set_peers (ClCore *core, const char *const *hosts, guint count);
 
 /* Host names are unique: a host that asks to join with another disk has lost
-   the old one and is admitted without an operator.  */
-void cl_set_unique_hosts (ClCore *core);
+   the old one and is admitted without an operator.  Members that are gone are
+   removed, while VOTERS_LEAST voters are left and answer; one that was cut off
+   comes back by itself.  */
+void cl_set_unique_hosts (ClCore *core, guint voters_least);
 
 /* Keeps ENTRIES behind a snapshot, instead of CL_KEEP_ENTRIES; a snapshot is
    wanted after twice as many.  */
--- a/lib/clog/core.h
+++ b/lib/clog/core.h
@@ -42,6 +42,7 @@
   guint64 applied;
   guint64 keep; /* entries kept behind a snapshot */
   gboolean unique_hosts;
+  guint voters_least;
 
   GPtrArray *members;
   guint64 members_index; /* entry the members come from */
@@ -117,6 +118,8 @@
 /* change.c  */
 /* Makes a learner that has all committed entries a voter.  */
 void cl_promote_learner (ClCore *core, GmTime now, const ClMember *member);
+/* Removes a member that is gone, at the leader, where that is safe.  */
+void cl_remove_gone (ClCore *core, GmTime now);
 /* A host asks to join.  */
 void cl_receive_join (ClCore *core, GmTime now, const struct wm_join *m);
 
--- a/tests/fuzz/fuzz.c
+++ b/tests/fuzz/fuzz.c
@@ -14,6 +14,10 @@
 #define FAULTS_AT_ONCE 2
 #define SETTLE (15 * GM_SECOND)
 #define SHRINK_RUNS 60
+/* Added to a fault of a control host now and then, where the control group
+   heals itself: it is removed, and comes back.  */
+#define GONE (CL_GONE + GM_SECOND)
+#define GONE_ONE_IN 4
 
 /* name, least and spread of its duration in milliseconds  */
 #define FAULTS(X)                                                             \
@@ -231,6 +235,9 @@
   GmTime span = (GmTime)gm_random_below (r, (guint64)faults[a.fault].spread);
   a.until = w->now + faults[a.fault].least + span;
   a.target = (guint)gm_random_below (r, database ? DATABASES : HOSTS);
+  if (w->healing && a.target < CONTROL_HOSTS && a.fault <= FAULT_FREEZE_HOST
+      && gm_random_below (r, GONE_ONE_IN) == 0)
+    a.until += GONE;
   a.other = (a.target + 1 + (guint)gm_random_below (r, HOSTS - 1)) % HOSTS;
   gboolean alone
       = run->active->len > 0
@@ -259,7 +266,8 @@
   if (gm_random_below (&r, OPERATOR_ONE_IN) == 0)
     oracle_operator_step (run->oracle, &r);
   /* An operator notices an empty disk sooner or later.  */
-  if (step % 100 == 0 && world_voters (run->world) < CONTROL_HOSTS)
+  if (step % 100 == 0 && !run->world->healing
+      && world_voters (run->world) < CONTROL_HOSTS)
     for (guint h = 0; h < CONTROL_HOSTS; h++)
       ask_replace (run->world, h);
   oracle_session_step (run->oracle, (guint)gm_random_below (&r, SESSIONS), &r);
@@ -274,10 +282,12 @@
   for (int i = 0; i < 30; i++)
     {
       world_advance (w, w->now + SETTLE / 30);
-      if (world_voters (w) < CONTROL_HOSTS)
+      if (!w->healing && world_voters (w) < CONTROL_HOSTS)
         for (guint h = 0; h < CONTROL_HOSTS; h++)
           ask_replace (w, h);
     }
+  if (w->healing && world_voters (w) < CONTROL_HOSTS)
+    world_violation (w, "a control host that is back is no voter");
   oracle_final (run->oracle);
 }
 
@@ -293,10 +303,11 @@
 /* Runs STEPS steps, leaving out those that LEFT_OUT marks, and stops at a
    violation.  Returns the number of steps run.  */
 static guint
-run_schedule (Run *run, guint64 seed, guint steps, const guint8 *left_out)
+run_schedule (Run *run, guint64 seed, guint steps, gboolean healing,
+              const guint8 *left_out)
 {
   memset (run, 0, sizeof *run);
-  run->world = world_new (seed);
+  run->world = world_new (seed, healing);
   run->oracle = oracle_new (run->world);
   run->active = g_array_new (FALSE, FALSE, sizeof (Active));
   run->schedule = g_string_new (NULL);
@@ -314,7 +325,7 @@
 
 /* Leaves out ever smaller pieces as long as a violation remains.  */
 static void
-shrink (guint64 seed, guint steps)
+shrink (guint64 seed, guint steps, gboolean healing)
 {
   g_autofree guint8 *left_out = g_malloc0 (steps + 1);
   guint runs = 0;
@@ -325,7 +336,7 @@
         g_autofree guint8 *trial = g_memdup2 (left_out, steps + 1);
         memset (trial + at, 1, MIN (piece, steps - at));
         Run run;
-        run_schedule (&run, seed, steps, trial);
+        run_schedule (&run, seed, steps, healing, trial);
         if (run.world->violations > 0)
           memcpy (left_out, trial, steps);
         run_free (&run);
@@ -333,7 +344,7 @@
           return;
       }
   Run run;
-  run_schedule (&run, seed, steps, left_out);
+  run_schedule (&run, seed, steps, healing, left_out);
   guint kept = 0;
   for (guint i = 0; i < steps; i++)
     kept += left_out[i] == 0 ? 1 : 0;
@@ -349,6 +360,7 @@
   guint steps;
   gboolean quiet;
   gboolean stop; /* at the first violation */
+  gboolean healing;
 } Options;
 
 static gboolean
@@ -360,6 +372,8 @@
     { "steps", 0, 0, G_OPTION_ARG_INT, &o->steps, "steps of each", "N" },
     { "quiet", 0, 0, G_OPTION_ARG_NONE, &o->quiet, "no shrinking", NULL },
     { "stop", 0, 0, G_OPTION_ARG_NONE, &o->stop, "stop when red", NULL },
+    { "healing", 0, 0, G_OPTION_ARG_NONE, &o->healing,
+      "the control group heals itself", NULL },
     { NULL, 0, 0, 0, NULL, NULL, NULL },
   };
   g_autoptr (GOptionContext) context = g_option_context_new (NULL);
@@ -384,7 +398,7 @@
        seed < o.seed + o.seeds && !(o.stop && violations > 0); seed++)
     {
       Run run;
-      guint steps = run_schedule (&run, seed, o.steps, NULL);
+      guint steps = run_schedule (&run, seed, o.steps, o.healing, NULL);
       g_autoptr (GString) told = g_string_new (NULL);
       oracle_print (run.oracle, told);
       if (!o.quiet || run.world->violations > 0)
@@ -400,7 +414,7 @@
       gboolean bad = run.world->violations > 0;
       run_free (&run);
       if (bad && !o.quiet)
-        shrink (seed, steps);
+        shrink (seed, steps, o.healing);
     }
   printf ("seeds=%u steps=%u", o.seeds, o.steps);
   for (int i = 0; i < FAULT_COUNT; i++)
--- a/tests/fuzz/hosts.c
+++ b/tests/fuzz/hosts.c
@@ -396,6 +396,8 @@
     peers[i] = h->world->hosts[i]->name;
   cl_set_peers (co_log (h->control), peers, CONTROL_HOSTS);
   cl_set_keep (co_log (h->control), KEEP_ENTRIES);
+  if (h->world->healing)
+    cl_set_unique_hosts (co_log (h->control), VOTERS_LEAST);
   if (h->index == 0 && h->epoch == 1)
     cl_bootstrap (co_log (h->control), host_now (h), &status);
 }
--- a/tests/fuzz/parts.h
+++ b/tests/fuzz/parts.h
@@ -2,6 +2,9 @@
 #pragma once
 #include "world.h"
 
+/* Fewer than the control hosts, so that one that is gone may be removed.  */
+#define VOTERS_LEAST 2
+
 typedef enum
 {
   LINK_SUBSCRIPTION,
--- a/tests/fuzz/world.c
+++ b/tests/fuzz/world.c
@@ -159,9 +159,10 @@
 }
 
 World *
-world_new (guint64 seed)
+world_new (guint64 seed, gboolean healing)
 {
   World *w = g_new0 (World, 1);
+  w->healing = healing;
   gm_random_seed (&w->random, seed);
   w->now = 100 * GM_SECOND;
   w->events = g_sequence_new (NULL);
--- a/tests/fuzz/world.h
+++ b/tests/fuzz/world.h
@@ -51,12 +51,14 @@
   GHashTable *started;  /* request id -> times that it started at a database */
   GString *violation;   /* empty: none */
   guint violations;
+  gboolean healing;
   guint64 checked;
   GmTime disturbed; /* when a fault other than leaving was last there */
   gboolean trace;
 };
 
-World *world_new (guint64 seed);
+/* HEALING: the control group changes its members by itself.  */
+World *world_new (guint64 seed, gboolean healing);
 void world_free (World *w);
 /* Runs events up to TO.  */
 void world_advance (World *w, GmTime to);
--- a/tests/test_clog.c
+++ b/tests/test_clog.c
@@ -186,7 +186,7 @@
 test_unique_hosts (void)
 {
   Node n = node_new ("a", "disk-a");
-  cl_set_unique_hosts (n.core);
+  cl_set_unique_hosts (n.core, 1);
   lead_alone (&n);
   g_assert_cmpuint (cl_settled_voters (n.core), ==, 1);
   join (&n, "b", "disk-b");
@@ -435,6 +435,118 @@
   disk_remove (&d);
 }
 
+/* Voters of which the last SILENT say nothing for AFTER: how many are left. */
+static const struct
+{
+  guint voters;
+  guint silent;
+  GmTime after;
+  guint left;
+} gone[] = {
+  { 5, 0, 60 * GM_SECOND, 5 }, /* all are there */
+  { 5, 1, 10 * GM_SECOND, 5 }, /* may come back */
+  { 5, 1, 16 * GM_SECOND, 4 }, /* gone */
+  { 6, 1, 2 * GM_SECOND, 6 },  /* may be starting again */
+  { 6, 1, 4 * GM_SECOND, 5 },  /* five bear as many losses as six */
+  { 7, 2, 16 * GM_SECOND, 5 }, /* one after the other */
+  { 4, 1, 4 * GM_SECOND, 3 },
+  { 3, 1, 60 * GM_SECOND, 3 }, /* as few as may be */
+};
+
+/* The first HOSTS hosts, but for the leader itself, hold all entries.  */
+static void
+answer_all (Node *n, guint hosts)
+{
+  for (guint i = 1; i < hosts; i++)
+    {
+      g_autofree char *host = g_strdup_printf ("h%u", i);
+      appended (n, host, "disk", cl_last_index (n->core));
+    }
+}
+
+static void
+test_gone_voters (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (gone); i++)
+    {
+      Node n = node_new ("a", "disk");
+      cl_set_unique_hosts (n.core, 3);
+      lead_alone (&n);
+      for (guint j = 1; j < gone[i].voters; j++)
+        {
+          g_autofree char *host = g_strdup_printf ("h%u", j);
+          join (&n, host, "disk");
+          for (guint round = 0; round < 3; round++)
+            answer_all (&n, j + 1);
+        }
+      GmTime end = n.now + gone[i].after;
+      guint live = gone[i].voters - gone[i].silent;
+      g_assert_cmpuint (cl_settled_voters (n.core), ==, gone[i].voters);
+      while (n.now < end)
+        {
+          n.now += 50 * GM_MS;
+          cl_tick (n.core, n.now);
+          answer_all (&n, live);
+          drop_sends (&n);
+        }
+      g_assert_cmpuint (cl_settled_voters (n.core), ==, gone[i].left);
+      node_free (&n);
+    }
+}
+
+/* Delivers what A and B have for each other, until nothing is left.  */
+static void
+exchange (Node *a, Node *b)
+{
+  gboolean any = TRUE;
+  while (any)
+    {
+      ClSend send;
+      any = FALSE;
+      for (guint i = 0; i < 2; i++)
+        while (cl_take_send (i == 0 ? a->core : b->core, &send))
+          {
+            Node *to = i == 0 ? b : a;
+            cl_receive (to->core, to->now, &send.message);
+            g_free (send.to);
+            wm_clear (&send.message);
+            any = TRUE;
+          }
+    }
+}
+
+/* A voter that hears no leader may have been removed without knowing: it asks
+   to join, as it stands, and is taken in again.  */
+static void
+test_removed_voter_returns (void)
+{
+  Node a = node_new ("a", "disk-a"), b = node_new ("b", "disk-b");
+  static const char *const peers[] = { "a" };
+  cl_set_unique_hosts (a.core, 1);
+  cl_set_unique_hosts (b.core, 1);
+  cl_set_peers (b.core, peers, 1);
+  lead_alone (&a);
+  join (&a, "b", "disk-b");
+  exchange (&a, &b);
+  g_assert_true (cl_is_voter (b.core));
+  /* Removed while it hears nothing.  */
+  g_assert_cmpint (cl_remove (a.core, a.now, "b", NULL), ==, GM_OK);
+  drop_sends (&a);
+  g_assert_cmpuint (cl_members (a.core)->len, ==, 1);
+  b.now += CL_ALONE - 50 * GM_MS;
+  cl_tick (b.core, b.now);
+  drop_sends (&b);
+  g_assert_true (cl_is_voter (b.core));
+  b.now += 100 * GM_MS;
+  cl_tick (b.core, b.now);
+  exchange (&a, &b);
+  g_assert_true (is_voter (&a, "b"));
+  g_assert_true (cl_is_voter (b.core));
+  g_assert_cmpuint (cl_last_index (b.core), ==, cl_last_index (a.core));
+  node_free (&a);
+  node_free (&b);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -443,6 +555,8 @@
   g_test_add_func ("/clog/lost-disk", test_lost_disk);
   g_test_add_func ("/clog/join-through-follower", test_join_through_follower);
   g_test_add_func ("/clog/unique-hosts", test_unique_hosts);
+  g_test_add_func ("/clog/gone-voters", test_gone_voters);
+  g_test_add_func ("/clog/removed-voter-returns", test_removed_voter_returns);
   g_test_add_func ("/clog/replace-twice", test_replace_twice);
   g_test_add_func ("/clog/stamp", test_stamp);
   g_test_add_func ("/clog/many-changes", test_many_changes);
