After a total loss: first stamps at once, declarations read on demand

Ruled out: the control host's own start (20 ms with the log); its hosts come back at different times. Change: first elections are due after 20 to 80 ms; a command lists its groups, and the declaration is read when it is asked for; the first stamp after a start goes to all that wait, and a member's first echo goes out with its first answer; a control host that speaks is dialed again at once; entry hosts give a silent host 150 ms, not 250. Test: what is read on demand adds up to the same block.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -5,6 +5,7 @@
 
 #define TICK_MS 10
 #define REDIAL (200 * GM_MS)
+#define DIAL_TIME (50 * GM_MS) /* for a host that is known to run */
 #define HISTORY_SHOWN 500
 
 /* Another control host, dialed by this one.  */
@@ -16,6 +17,7 @@
   CfAddress address;
   LkLink *link;
   GmTime dial_at; /* 0: dialed */
+  GmTime dialed;
 } Peer;
 
 struct Control
@@ -174,6 +176,7 @@
         continue;
       lk_close (peer->link);
       peer->dial_at = 0;
+      peer->dialed = now;
       peer->link = lk_dial (&peer->address, &c->daemon->identity,
                             &peer_handler, peer);
     }
@@ -354,11 +357,27 @@
   lk_send (link, &answer);
 }
 
+/* HOST speaks, so that it is there: an attempt to reach it from before it was
+   waits for the network in vain.  */
+static void
+dial_again (Control *c, const char *host)
+{
+  GmTime now = daemon_now (c->daemon);
+  Peer *peer = find_peer (c, host);
+  if (peer != NULL && !(peer->link != NULL && lk_is_up (peer->link))
+      && peer->dial_at == 0 && now >= peer->dialed + DIAL_TIME)
+    {
+      peer->dial_at = now;
+      dial_peers (c);
+    }
+}
+
 static gboolean
 control_message (DaemonTask *task, guint64 number, LkLink *link,
                  const WmMessage *m)
 {
   Control *c = (Control *)task;
+  dial_again (c, lk_peer (link));
   if (m->type == WM_TYPE_STATUS_ASK)
     take_status_ask (c, link, m);
   else
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -276,7 +276,7 @@
   const CsState *state = subscription_state (d->daemon->subscription);
   GHashTableIter iter;
   gpointer value;
-  if (state->declaration == NULL)
+  if (cs_declaration (state) == NULL)
     return;
   g_hash_table_iter_init (&iter, state->groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -420,7 +420,7 @@
   if (check_body (body, operation, status) != GM_OK)
     return status->kind;
   const CfService *service
-      = cf_service_find (state->declaration, body->service);
+      = cf_service_find (cs_declaration (state), body->service);
   if (service == NULL)
     return gm_fail (status, GM_UNKNOWN_SERVICE, "no service is called %s",
                     body->service);
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -57,6 +57,7 @@
     return status->kind;
   const char *who = soup_message_headers_get_one (
       soup_server_message_get_request_headers (msg), WHO_HEADER);
+  g_autoptr (GBytes) groups = cs_group_names (declaration);
   g_autofree char *digest = cs_digest (data, length);
   WmMessage command
       = { .type = WM_TYPE_CMD_CONFIG,
@@ -64,7 +65,8 @@
                           .digest = digest,
                           .text = text,
                           .who = (char *)(who != NULL ? who : "operator"),
-                          .when = (guint64)g_get_real_time () } };
+                          .when = (guint64)g_get_real_time (),
+                          .groups = groups } };
   g_autoptr (GBytes) block = wm_encode (&command);
   WmMessage m = { .type = WM_TYPE_PROPOSE, .propose = { .command = block } };
   subscription_ask (op->daemon->subscription, &m, answered,
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -253,15 +253,16 @@
 update_pool (Pools *p, Pool *pool, const CsState *state,
              const CsDatabase *database, gboolean mine)
 {
-  const CfGroup *group = cf_group_find (state->declaration, database->group);
+  const CfGroup *group
+      = cf_group_find (cs_declaration (state), database->group);
   guint64 connections = group != NULL && group->connections > 0
                             ? (guint64)group->connections
                             : database->connections;
   GmTime now = daemon_now (p->daemon);
-  pl_set_floors (pool->core, state->declaration->floor);
+  pl_set_floors (pool->core, cs_declaration (state)->floor);
   pl_own (pool->core, now, mine);
   pl_limits (pool->core, now, (guint)database->slots, (guint)connections,
-             state->declaration->transaction_idle_ms * GM_MS);
+             cs_declaration (state)->transaction_idle_ms * GM_MS);
   pump (pool);
 }
 
@@ -300,7 +301,7 @@
 {
   Pools *p = (Pools *)task;
   const CsState *state = subscription_state (p->daemon->subscription);
-  if (state->declaration == NULL)
+  if (cs_declaration (state) == NULL)
     return;
   drop_pools (p, state);
   GHashTableIter iter;
@@ -419,8 +420,8 @@
   if (m->transaction == 0 && m->incarnation != pool->incarnation)
     return gm_fail (status, GM_UNAVAILABLE,
                     "not run: the database has started anew");
-  if (state->declaration == NULL
-      || cf_service_find (state->declaration, m->service) == NULL)
+  if (cs_declaration (state) == NULL
+      || cf_service_find (cs_declaration (state), m->service) == NULL)
     return gm_fail (status, GM_UNKNOWN_SERVICE, "not run: no such service");
   return gm_ok (status);
 }
@@ -442,7 +443,7 @@
     }
   const CsState *state = subscription_state (p->daemon->subscription);
   PlRequest *request = pl_request_from (
-      m, cf_service_find (state->declaration, m->service), now_of (pool));
+      m, cf_service_find (cs_declaration (state), m->service), now_of (pool));
   request->owner = GSIZE_TO_POINTER (number);
   pl_submit (pool->core, now_of (pool), request);
   pump (pool);
--- a/lib/clog/clog.h
+++ b/lib/clog/clog.h
@@ -20,8 +20,9 @@
 #define CL_ELECTION_SPREAD (300 * GM_MS)
 /* A host that has heard no leader since it started need not wait for one to
    fall silent: where one lives, its first vote is refused.  */
-#define CL_FIRST_ELECTION_MIN (100 * GM_MS)
-#define CL_FIRST_ELECTION_SPREAD (150 * GM_MS)
+#define CL_FIRST_ELECTION_MIN (20 * GM_MS) /* ten trips within a region */
+#define CL_FIRST_ELECTION_SPREAD                                              \
+  (60 * GM_MS) /* three candidates a trip apart */
 #define CL_JOIN_INTERVAL (200 * GM_MS)
 /* A voter that hears no leader for so long asks to join: it may have been
    removed while it was cut off.  Two elections take less.  */
--- a/lib/clog/core.h
+++ b/lib/clog/core.h
@@ -15,6 +15,7 @@
   GmTime acked;       /* our clock, as echoed by the peer */
   GmTime installing;  /* when a snapshot was last sent, 0: none */
   gboolean voted;
+  gboolean echoed; /* it can have a stamp of this leader */
 } ClProgress;
 
 struct ClCore
--- a/lib/clog/replicate.c
+++ b/lib/clog/replicate.c
@@ -95,6 +95,9 @@
   g_autoptr (GBytes) batch
       = batch_from (core, progress->next, cl_last_index (core));
   GmTime age = now - cl_confirmed_at (core, now);
+  progress->echoed
+      = progress->echoed
+        || (cl_commits_own_term (core) && progress->probe_sent != 0);
   WmMessage m
       = { .type = WM_TYPE_APPEND,
           .append
@@ -367,7 +370,8 @@
     progress->next = cl_last_index (core) + 1;
   gboolean more = progress->match < cl_last_index (core);
   cl_advance_commit (core, now);
-  if (more)
+  /* A member that waits for its first stamp need not wait for a heartbeat.  */
+  if (more || (!progress->echoed && cl_commits_own_term (core)))
     send_append (core, now, m->from);
   cl_promote_learner (core, now, member);
 }
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -9,7 +9,8 @@
   guint64 link;
   char *host;
   guint64 incarnation;
-  guint64 sent; /* version up to which it was sent the state */
+  guint64 sent;   /* version up to which it was sent the state */
+  guint64 beaten; /* its clock in its last heartbeat */
 } Subscriber;
 
 /* A proposal whose entry is not yet applied.  */
@@ -34,6 +35,7 @@
   guint voters_min;
   gboolean led;
   gboolean failed;
+  gboolean stamped; /* a quorum has confirmed this host since it started */
   GmTime expire_at; /* when the silent are looked for next */
 };
 
@@ -379,6 +381,34 @@
   gm_log (GM_EV_DISK_STOPPED, "%s", status.message);
 }
 
+static void
+send_stamp (CoCore *core, GmTime now, const Subscriber *s)
+{
+  GmTime stamp = cl_stamp (core->log, now);
+  const char *leader = cl_leader (core->log);
+  /* The age saturates: a host without a stamp vouches for nothing.  */
+  GmTime age = CLAMP (now - stamp, 0, (GmTime)G_MAXINT32 * GM_MS);
+  WmMessage m
+      = { .type = WM_TYPE_STAMP,
+          .stamp = { .echo = s->beaten,
+                     .age = (guint64)age,
+                     .version = core->state->version,
+                     .leader = (char *)(leader != NULL ? leader : "") } };
+  queue_send (core, s->link, NULL, &m);
+}
+
+/* The first stamp after a start goes to all who wait for it, as the answer to
+   the heartbeat that each sent last.  */
+static void
+send_first_stamps (CoCore *core, GmTime now)
+{
+  if (core->stamped || cl_stamp (core->log, now) <= 0)
+    return;
+  core->stamped = TRUE;
+  for (guint i = 0; i < core->subscribers->len; i++)
+    send_stamp (core, now, g_ptr_array_index (core->subscribers, i));
+}
+
 /* Carries out what the log's last step asks for.  */
 static void
 pump (CoCore *core, GmTime now)
@@ -389,6 +419,7 @@
   apply_committed (core);
   for (guint i = 0; i < core->subscribers->len; i++)
     send_delta (core, g_ptr_array_index (core->subscribers, i));
+  send_first_stamps (core, now);
   while (cl_take_send (core->log, &send))
     {
       queue_send (core, 0, send.to, &send.message);
@@ -482,23 +513,6 @@
   return NULL;
 }
 
-static void
-send_stamp (CoCore *core, GmTime now, const Subscriber *s,
-            const struct wm_subscribe *beat)
-{
-  GmTime stamp = cl_stamp (core->log, now);
-  const char *leader = cl_leader (core->log);
-  /* The age saturates: a host without a stamp vouches for nothing.  */
-  GmTime age = CLAMP (now - stamp, 0, (GmTime)G_MAXINT32 * GM_MS);
-  WmMessage m
-      = { .type = WM_TYPE_STAMP,
-          .stamp = { .echo = beat->sent,
-                     .age = (guint64)age,
-                     .version = core->state->version,
-                     .leader = (char *)(leader != NULL ? leader : "") } };
-  queue_send (core, s->link, NULL, &m);
-}
-
 static Subscriber *
 add_subscriber (CoCore *core, guint64 link, const struct wm_subscribe *beat)
 {
@@ -532,8 +546,9 @@
       Subscriber *s = find_subscriber (core, link);
       if (s == NULL)
         s = add_subscriber (core, link, beat);
+      s->beaten = beat->sent;
       send_delta (core, s);
-      send_stamp (core, now, s, beat);
+      send_stamp (core, now, s);
     }
   if (core->led)
     mb_host (core->members, now, core->state, beat);
--- a/lib/control/subscriber.c
+++ b/lib/control/subscriber.c
@@ -76,7 +76,7 @@
 gboolean
 sb_is_fresh (const SbCore *core, GmTime now)
 {
-  if (core->state->declaration == NULL)
+  if (cs_declaration (core->state) == NULL)
     return FALSE;
   if (GM_MUTANT (SERVE_STALE))
     return TRUE;
--- a/lib/control/subscriber.h
+++ b/lib/control/subscriber.h
@@ -13,13 +13,13 @@
 #include "cstate/cstate.h"
 
 /* A link that is not up by then is given up: a host without power does not
-   refuse it.  */
-#define SB_DIAL_TIME (250 * GM_MS)
+   refuse it.  A host that has just started answers within 100 ms.  */
+#define SB_DIAL_TIME (150 * GM_MS)
 /* Then another control host is tried: four heartbeats without a stamp.  */
 #define SB_STAMP_STALE (800 * GM_MS)
 #define SB_BEAT (200 * GM_MS)
 #define SB_BEAT_FENCED (50 * GM_MS) /* while callers wait for a stamp */
-#define SB_REDIAL (100 * GM_MS)
+#define SB_REDIAL (50 * GM_MS)      /* a third of SB_DIAL_TIME */
 
 typedef enum
 {
--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -1,4 +1,5 @@
 #include "cstate.h"
+#include "base/event.h"
 #include "base/mutant.h"
 #include <string.h>
 
@@ -75,7 +76,7 @@
 {
   if (state == NULL)
     return;
-  cf_declaration_free (state->declaration);
+  cf_declaration_free (state->parsed);
   g_clear_pointer (&state->text, g_bytes_unref);
   g_clear_pointer (&state->source, g_bytes_unref);
   g_clear_pointer (&state->pools, g_hash_table_unref);
@@ -120,8 +121,7 @@
 static GmKind
 check_highest (const CsState *state, guint64 number, GmStatus *outcome)
 {
-  guint64 held
-      = state->declaration != NULL ? (guint64)state->declaration->number : 0;
+  guint64 held = state->number;
   if (number > held || GM_MUTANT (LOWER_WINS))
     return gm_ok (outcome);
   gm_fail (outcome, GM_OK,
@@ -136,9 +136,7 @@
 {
   if (!highest)
     return find_history (state, number) == NULL;
-  return state->declaration == NULL
-         || number > (guint64)state->declaration->number
-         || GM_MUTANT (LOWER_WINS);
+  return number > state->number || GM_MUTANT (LOWER_WINS);
 }
 
 GmKind
@@ -174,38 +172,74 @@
 }
 
 static void
-add_groups (CsState *state)
+add_group (CsState *state, const char *name)
 {
-  for (guint i = 0; i < state->declaration->groups->len; i++)
-    {
-      const CfGroup *declared
-          = g_ptr_array_index (state->declaration->groups, i);
-      if (g_hash_table_contains (state->groups, declared->name))
-        continue;
-      CsGroup *group = g_new0 (CsGroup, 1);
-      group->group = g_strdup (declared->name);
-      group->primary = g_strdup ("");
-      group->avoid = g_strdup ("");
-      group->holder = g_strdup ("");
-      g_hash_table_insert (state->groups, group->group, group);
-    }
+  if (g_hash_table_contains (state->groups, name))
+    return;
+  CsGroup *group = g_new0 (CsGroup, 1);
+  group->group = g_strdup (name);
+  group->primary = g_strdup ("");
+  group->avoid = g_strdup ("");
+  group->holder = g_strdup ("");
+  g_hash_table_insert (state->groups, group->group, group);
+}
+
+static void
+add_groups (CsState *state, GBytes *names)
+{
+  g_autoptr (GPtrArray) list = wm_strings_decode (names);
+  for (guint i = 0; list != NULL && i < list->len; i++)
+    add_group (state, g_ptr_array_index (list, i));
+}
+
+GBytes *
+cs_group_names (const CfDeclaration *declaration)
+{
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
+  for (guint i = 0; i < declaration->groups->len; i++)
+    g_ptr_array_add (
+        names, ((CfGroup *)g_ptr_array_index (declaration->groups, i))->name);
+  return wm_strings_encode ((const char *const *)names->pdata, names->len);
+}
+
+const CfDeclaration *
+cs_declaration (const CsState *state)
+{
+  /* Read on demand, which is no change of the state.  */
+  CsState *cache = (CsState *)state;
+  GmStatus status;
+  if (state->parsed != NULL || state->text == NULL)
+    return state->parsed;
+  cache->parsed = cf_declaration_of (state->text, &status);
+  if (state->parsed == NULL)
+    gm_log (GM_EV_CONFIG_REFUSED,
+            "number %" G_GUINT64_FORMAT " was accepted, and can't be read: %s",
+            state->number, status.message);
+  return state->parsed;
 }
 
+/* Makes C the declaration in force.  One without a list of its groups is read
+   at once, to find them.  */
 static gboolean
-set_declaration (CsState *state, GBytes *text, GBytes *source,
+set_declaration (CsState *state, const struct wm_cmd_config *c,
                  GmStatus *outcome)
 {
-  CfDeclaration *fresh = cf_declaration_of (text, outcome);
-  if (fresh == NULL)
+  gboolean listed = c->groups != NULL && g_bytes_get_size (c->groups) > 0;
+  CfDeclaration *fresh = listed ? NULL : cf_declaration_of (c->text, outcome);
+  g_autoptr (GBytes) names = listed          ? g_bytes_ref (c->groups)
+                             : fresh != NULL ? cs_group_names (fresh)
+                                             : NULL;
+  if (names == NULL)
     return FALSE;
-  cf_declaration_free (state->declaration);
-  state->declaration = fresh;
+  cf_declaration_free (state->parsed);
   g_clear_pointer (&state->text, g_bytes_unref);
   g_clear_pointer (&state->source, g_bytes_unref);
-  state->text = g_bytes_ref (text);
+  state->parsed = fresh;
+  state->number = fresh != NULL ? (guint64)fresh->number : c->number;
+  state->text = g_bytes_ref (c->text);
   state->source
-      = source != NULL ? g_bytes_ref (source) : g_bytes_new (NULL, 0);
-  add_groups (state);
+      = c->source != NULL ? g_bytes_ref (c->source) : g_bytes_new (NULL, 0);
+  add_groups (state, names);
   return TRUE;
 }
 
@@ -218,7 +252,7 @@
       = cs_check_config (state, c->number, c->digest, highest, outcome);
   if (kind == GM_OK && !fresh_one && !GM_MUTANT (NUMBER_TWICE))
     return kind;
-  if (kind == GM_OK && !set_declaration (state, c->text, c->source, outcome))
+  if (kind == GM_OK && !set_declaration (state, c, outcome))
     kind = GM_INVALID;
   if (kind == GM_OK)
     {
@@ -565,8 +599,7 @@
 decode_record (CsState *state, const WmMessage *m)
 {
   if (m->type == WM_TYPE_CMD_CONFIG)
-    return set_declaration (state, m->cmd_config.text, m->cmd_config.source,
-                            NULL);
+    return set_declaration (state, &m->cmd_config, NULL);
   if (m->type == WM_TYPE_REC_GROUP)
     decode_group (state, &m->rec_group);
   else if (m->type == WM_TYPE_REC_HISTORY)
@@ -619,8 +652,8 @@
 guint
 cs_copies (const CsState *state, const char *group)
 {
-  const CfGroup *declared = state->declaration != NULL
-                                ? cf_group_find (state->declaration, group)
-                                : NULL;
+  const CfDeclaration *declaration = cs_declaration (state);
+  const CfGroup *declared
+      = declaration != NULL ? cf_group_find (declaration, group) : NULL;
   return declared != NULL ? (guint)declared->databases : 0;
 }
--- a/lib/cstate/cstate.h
+++ b/lib/cstate/cstate.h
@@ -76,8 +76,9 @@
 typedef struct
 {
   guint64 version;
-  CfDeclaration *declaration; /* NULL before the first */
-  GBytes *text;
+  guint64 number;        /* of the declaration in force; 0: there is none */
+  GBytes *text;          /* of that; NULL: there is none */
+  CfDeclaration *parsed; /* that, once cs_declaration was asked for it */
   GBytes *source;        /* what the operator sent; empty: the text itself */
   GHashTable *hosts;     /* host -> CsHost */
   GHashTable *databases; /* id -> CsDatabase */
@@ -98,6 +99,11 @@
                  GmStatus *outcome);
 /* Counts an entry that changes nothing here.  */
 void cs_skip (CsState *state, guint64 version);
+/* The declaration in force, read when it is first asked for; NULL before the
+   first.  */
+const CfDeclaration *cs_declaration (const CsState *state);
+/* The names of DECLARATION's groups, as a CMD_CONFIG lists them.  */
+GBytes *cs_group_names (const CfDeclaration *declaration);
 /* Whether an operator's declaration with NUMBER and DIGEST would be accepted
    now; the same check that cs_apply makes.  */
 GmKind cs_check_config (const CsState *state, guint64 number,
--- a/lib/dispatch/group.c
+++ b/lib/dispatch/group.c
@@ -117,8 +117,8 @@
   if (exec->transaction == 0 && !fresh)
     return gm_fail (status, GM_STALE,
                     "not run: the dispatcher is cut off from control");
-  if (state->declaration == NULL
-      || cf_service_find (state->declaration, exec->service) == NULL)
+  if (cs_declaration (state) == NULL
+      || cf_service_find (cs_declaration (state), exec->service) == NULL)
     return gm_fail (status, GM_UNKNOWN_SERVICE, "not run: no such service");
   return gm_ok (status);
 }
@@ -128,7 +128,7 @@
            const struct wm_exec *exec)
 {
   const CfService *service
-      = cf_service_find (state->declaration, exec->service);
+      = cf_service_find (cs_declaration (state), exec->service);
   DpRequest *request = dp_request_from (exec, service, now);
   request->owner = owner;
   dp_submit (core->dispatch, now, request);
@@ -455,8 +455,8 @@
 gp_update (GpCore *core, GmTime now, const CsState *state)
 {
   dp_set_copies (core->dispatch, MAX (cs_copies (state, core->name), 1));
-  if (state->declaration != NULL)
-    dp_set_floors (core->dispatch, state->declaration->floor);
+  if (cs_declaration (state) != NULL)
+    dp_set_floors (core->dispatch, cs_declaration (state)->floor);
   update_databases (core, now, state);
   update_term (core, now, state);
   update_owner (core, now, state);
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -259,8 +259,8 @@
 static const CfService *
 find_service (const SnSession *s, const SnWorld *world)
 {
-  return world->state->declaration != NULL
-             ? cf_service_find (world->state->declaration, s->service)
+  return cs_declaration (world->state) != NULL
+             ? cf_service_find (cs_declaration (world->state), s->service)
              : NULL;
 }
 
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -106,9 +106,13 @@
   U (open) U (point_term) U (point_number) U (lead_term) U (lead_number) \
   U (lead_age) U (wait) S (signature) B (rows)
 
-/* Commands of the control log.  */
+/* Commands of the control log.  groups lists the names of the groups that the
+   text declares, so that it need not be read where it is overtaken at once; its
+   proposer has checked it.  Empty: the text is read as the command is applied.
+   */
 #define WM_CMD_CONFIG(U, S, B) \
-  U (number) S (digest) B (text) S (who) U (when) U (highest) B (source)
+  U (number) S (digest) B (text) S (who) U (when) U (highest) B (source) \
+  B (groups)
 #define WM_CMD_HOST(U, S, B) \
   S (host) U (incarnation) S (caller) S (link) S (data_centre) U (roles)
 #define WM_CMD_HOST_DOWN(U, S, B) \
--- a/tests/fuzz/oracle.c
+++ b/tests/fuzz/oracle.c
@@ -518,11 +518,15 @@
   sub->oracle = o;
   sub->number = number;
   sub->digest = cs_digest (text, strlen (text));
+  GmStatus status;
+  g_autoptr (CfDeclaration) parsed = cf_declaration_of (bytes, &status);
+  g_autoptr (GBytes) groups = cs_group_names (parsed);
   WmMessage command = { .type = WM_TYPE_CMD_CONFIG,
                         .cmd_config = { .number = number,
                                         .digest = sub->digest,
                                         .text = bytes,
-                                        .who = (char *)"fuzz" } };
+                                        .who = (char *)"fuzz",
+                                        .groups = groups } };
   g_autoptr (GBytes) block = wm_encode (&command);
   WmMessage m = { .type = WM_TYPE_PROPOSE, .propose = { .command = block } };
   world_ask (o->world, host, &m, submitted, sub);
--- a/tests/fuzz/session_pools.c
+++ b/tests/fuzz/session_pools.c
@@ -164,7 +164,7 @@
   if (known)
     {
       const CfService *service
-          = cf_service_find (host->state->declaration, m->service);
+          = cf_service_find (cs_declaration (host->state), m->service);
       PlRequest *r = pl_request_from (m, service, w->now);
       r->owner = GUINT_TO_POINTER ((guint)(parcel->from - w->hosts));
       pl_submit (pool->core, w->now, r);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -55,7 +55,7 @@
       g_assert_nonnull (strstr (status.message, submissions[i].says));
       wm_clear (&c);
     }
-  g_assert_cmpint (state->declaration->number, ==, 2);
+  g_assert_cmpint (cs_declaration (state)->number, ==, 2);
   g_autoptr (GBytes) block = cs_encode (state);
   g_autoptr (CsState) copy = cs_decode (state->version, block);
   g_autoptr (GBytes) again = cs_encode (copy);
@@ -275,8 +275,9 @@
       c.cmd_config.source = g_bytes_new ("as sent", 7);
       g_assert_cmpint (cs_apply (state, i + 1, &c, &status), ==, GM_OK);
       const CfService *service
-          = g_ptr_array_index (state->declaration->services, 0);
-      g_assert_cmpint (state->declaration->number, ==, highest[i].in_force);
+          = g_ptr_array_index (cs_declaration (state)->services, 0);
+      g_assert_cmpint (cs_declaration (state)->number, ==,
+                       highest[i].in_force);
       g_assert_cmpint (service->deadline_ms, ==, highest[i].deadline);
       wm_clear (&c);
     }
@@ -287,7 +288,37 @@
   g_autoptr (GBytes) slim = cs_encode_for_hosts (state);
   g_autoptr (CsState) host = cs_decode (state->version, slim);
   g_assert_cmpuint (g_bytes_get_size (host->source), ==, 0);
-  g_assert_cmpint (host->declaration->number, ==, 7);
+  g_assert_cmpint (cs_declaration (host)->number, ==, 7);
+}
+
+/* Declarations that list their groups are read only when they are asked for:
+   what they add up to is the same, block for block.  */
+static void
+test_read_on_demand (void)
+{
+  g_autoptr (CsState) at_once = cs_new ();
+  g_autoptr (CsState) on_demand = cs_new ();
+  for (guint i = 0; i < G_N_ELEMENTS (highest); i++)
+    {
+      static const char *const names[] = { "g" };
+      WmMessage c = config (highest[i].number, highest[i].flavour);
+      c.cmd_config.highest = 1;
+      cs_apply (at_once, i + 1, &c, NULL);
+      c.cmd_config.groups = wm_strings_encode (names, 1);
+      cs_apply (on_demand, i + 1, &c, NULL);
+      g_assert_null (on_demand->parsed);
+      g_assert_nonnull (cs_group (on_demand, "g"));
+      wm_clear (&c);
+    }
+  g_autoptr (GBytes) a = cs_encode (at_once);
+  g_autoptr (GBytes) b = cs_encode (on_demand);
+  g_assert_true (g_bytes_equal (a, b));
+  const CfDeclaration *read = cs_declaration (on_demand);
+  g_assert_cmpint (read->number, ==, 7);
+  g_autoptr (GBytes) groups = cs_group_names (read);
+  g_autoptr (GPtrArray) names = wm_strings_decode (groups);
+  g_assert_cmpuint (names->len, ==, 1);
+  g_assert_cmpstr (g_ptr_array_index (names, 0), ==, "g");
 }
 
 static void
@@ -356,5 +387,6 @@
   g_test_add_func ("/state/stall", test_stall);
   g_test_add_func ("/state/highest", test_highest);
   g_test_add_func ("/state/pools", test_pools);
+  g_test_add_func ("/state/read-on-demand", test_read_on_demand);
   return g_test_run ();
 }
