In a queue, requests that can still be answered by their target go first

Change: each service of a rank has two lines; a request that can't be answered by its target any more goes to the second, which is served while the first is empty. Admission counts what stands before a request in its own line. The entry host passes on how long a caller had waited for its start. Ranks keep their order. Test first: tests/test_queue.c, the pattern 'backlog after an outage': of the arrivals at four fifths of capacity over 0.95 are in time, in order of arrival under 0.2.

--- a/lib/dispatch/queue.h
+++ b/lib/dispatch/queue.h
@@ -3,7 +3,12 @@
    Ranks are served in order, but each rank that waits earns credit in
    proportion to its floor and is served once the credit covers a request.
    Services of one rank share it by estimated cost, so that a flood of one
-   leaves the others their share.  Pure; requests are borrowed.  */
+   leaves the others their share.
+
+   Within a rank, requests that can still be answered by the time they are due
+   go before those that can't: after an outage or in a flood, serving the
+   oldest first would make all of them late.  Late ones are served while
+   nothing else of their rank waits.  Pure; requests are borrowed.  */
 #pragma once
 #include "request.h"
 
@@ -28,10 +33,13 @@
 void dq_free (DqQueue *queue);
 /* Sets the floors, shares of the lane's capacity.  */
 void dq_set_floors (DqQueue *queue, const double floors[CF_RANK_COUNT]);
-/* Puts REQUEST behind the others of its service; cost must be set.  */
+/* Puts REQUEST behind the others of its service, behind all that are not late
+   if it is; cost must be set.  */
 void dq_push (DqQueue *queue, DpRequest *request);
 /* Puts REQUEST before the others of its service.  */
 void dq_push_front (DqQueue *queue, DpRequest *request);
+/* Notes which requests are late at NOW.  */
+void dq_age (DqQueue *queue, GmTime now);
 /* Takes REQUEST out.  */
 void dq_remove (DqQueue *queue, DpRequest *request);
 /* Takes out and charges the request that is served next among those that
@@ -46,9 +54,14 @@
    the queue, or NULL.  */
 DpRequest *dq_least_worth (DqQueue *queue, CfRank rank, gint64 worth);
 /* Estimated time until a new request of RANK and SERVICE would be served by
-   SLOTS servers in parallel.  */
+   SLOTS servers in parallel, before all that are late, or with LATE behind
+   them.  */
 GmTime dq_wait (const DqQueue *queue, CfRank rank, const char *service,
-                double slots);
+                double slots, gboolean late);
+/* Decides which line REQUEST, not in the queue yet, is for, and returns the
+   time that it would wait there.  */
+GmTime dq_place (const DqQueue *queue, DpRequest *request, GmTime now,
+                 double slots);
 guint dq_length (const DqQueue *queue);
 /* Requests of RANK, and those of them that SERVICE has.  */
 guint dq_rank_length (const DqQueue *queue, CfRank rank);
--- a/lib/dispatch/request.c
+++ b/lib/dispatch/request.c
@@ -9,6 +9,14 @@
   return request;
 }
 
+GmTime
+dp_due (const CfService *service, GmTime deadline)
+{
+  if (service->target_ms <= 0 || service->target_ms >= service->deadline_ms)
+    return 0;
+  return deadline - (service->deadline_ms - service->target_ms) * GM_MS;
+}
+
 DpRequest *
 dp_request_from (const struct wm_exec *exec, const CfService *service,
                  GmTime now)
@@ -23,6 +31,7 @@
   r->statement = g_strdup (exec->statement);
   r->params = exec->params != NULL ? g_bytes_ref (exec->params) : NULL;
   r->deadline = now + (GmTime)MIN (exec->deadline, DP_DEADLINE_MAX);
+  r->due = dp_due (service, r->deadline);
   r->worth = service->worth;
   r->max_age
       = service->max_age_ms < 0 ? DP_ANY_AGE : service->max_age_ms * GM_MS;
--- a/lib/dispatch/request.h
+++ b/lib/dispatch/request.h
@@ -39,6 +39,7 @@
   GBytes *params; /* block of strings */
   GmTime arrived;
   GmTime deadline;
+  GmTime due; /* an answer is worth most until then; 0: until the deadline */
   gint64 worth;
   GmTime max_age; /* DP_ANY_AGE, or the age that the answer may have */
   gboolean repeatable;
@@ -48,6 +49,7 @@
 
   /* Kept by the core.  */
   GmTime cost;          /* estimated service time */
+  gboolean late;        /* it can't be answered by the time due */
   GmTime primary_after; /* a read may go to the primary from then on */
   GList link;           /* in its queue; data is the request */
   gpointer queue;       /* the service queue that holds it, or NULL */
@@ -71,6 +73,9 @@
   GBytes *rows;
 } DpRequest;
 
+/* When an answer under the rules of SERVICE, wanted by DEADLINE, is due; 0: it
+   is worth the same until then.  */
+GmTime dp_due (const CfService *service, GmTime deadline);
 /* An empty request; every string may stay NULL.  */
 DpRequest *dp_request_new (void);
 /* The request that EXEC asks for under the rules of SERVICE.  */
--- a/lib/dispatch/schedule.c
+++ b/lib/dispatch/schedule.c
@@ -241,8 +241,8 @@
       dp_answer (core, request, GM_QUEUE_FULL, "not run: the queue is full");
       return FALSE;
     }
-  GmTime wait = dq_wait (lane, request->rank, request->service,
-                         lane_slots (core, request));
+  GmTime wait = dq_place (lane, request, now + usual_trip (core),
+                          lane_slots (core, request));
   GmTime left = request->deadline - now - request->cost - usual_trip (core);
   if ((double)wait <= ADMIT_SHARE * (double)left)
     return TRUE;
@@ -482,6 +482,7 @@
             Placement *placement)
 {
   DpRequest *request;
+  dq_age (lane, now + usual_trip (core));
   while ((request = dq_take (lane, place, placement)) != NULL)
     {
       /* The filter has looked at others since; this sets the choice anew.  */
--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -246,6 +246,7 @@
 pl_schedule (PlCore *core, GmTime now)
 {
   drop_late (core, now, FALSE);
+  dq_age (core->queue, now + core->trip);
   while (core->running->len - core->overdue < pl_in_flight_max (core)
          && core->free->len > 0)
     {
@@ -260,7 +261,7 @@
 GmTime
 pl_wait (const PlCore *core, CfRank rank, const char *service)
 {
-  return dq_wait (core->queue, rank, service, core->slots);
+  return dq_wait (core->queue, rank, service, core->slots, FALSE);
 }
 
 /* Whether REQUEST may wait: refuses it, or one worth less, when the deadline
@@ -268,8 +269,8 @@
 static gboolean
 admit (PlCore *core, GmTime now, PlRequest *request)
 {
-  const DpRequest *base = &request->base;
-  GmTime wait = pl_wait (core, base->rank, base->service);
+  DpRequest *base = &request->base;
+  GmTime wait = dq_place (core->queue, base, now + core->trip, core->slots);
   GmTime left = base->deadline - now - base->cost - core->trip;
   if (!core->policy.admission || (double)wait <= ADMIT_SHARE * (double)left)
     return TRUE;
--- a/lib/pool/request.c
+++ b/lib/pool/request.c
@@ -10,6 +10,7 @@
   request->base.service = g_strdup (service->name);
   request->base.worth = service->worth;
   request->base.deadline = deadline;
+  request->base.due = dp_due (service, deadline);
   return request;
 }
 
@@ -50,6 +51,9 @@
 {
   GmTime left = (GmTime)MIN (m->deadline, DP_DEADLINE_MAX);
   PlRequest *r = pl_request_new (service, now + left);
+  if (r->base.due != 0)
+    r->base.due
+        = MAX (r->base.due - (GmTime)MIN (m->waited, DP_DEADLINE_MAX), 1);
   r->sequence = m->sequence;
   r->operation = (PlOperation)m->operation;
   r->begins = (DpBegin)m->begins;
--- a/lib/session/core.h
+++ b/lib/session/core.h
@@ -43,6 +43,7 @@
   SnState state;
   gboolean read_only; /* the transaction */
   gboolean wrote;     /* the transaction */
+  GmTime waited;      /* by the caller, before its first statement */
   TkPoint own;        /* after the session's last write */
   GmTime own_at;
   TkPoint point;
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -91,6 +91,12 @@
   g_free (s);
 }
 
+void
+sn_waited (SnSession *s, GmTime waited)
+{
+  s->waited = waited;
+}
+
 SnState
 sn_state (const SnSession *s)
 {
@@ -145,6 +151,8 @@
                                                            : SN_FAILED;
       sn_release (s, step);
     }
+  if (s->busy)
+    s->waited = 0;
   s->busy = FALSE;
   call_clear (&s->call);
 }
@@ -203,6 +211,7 @@
         .transaction = s->transaction,
         .service = g_strdup (s->service),
         .deadline = (guint64)MAX (call->deadline - world->now, 0),
+        .waited = (guint64)s->waited,
         .after_term = call->after.term,
         .after_number = call->after.position,
         .id = g_strdup (statement->id),
--- a/lib/session/session.h
+++ b/lib/session/session.h
@@ -102,6 +102,9 @@
 /* A session that asked for the service SERVICE.  */
 SnSession *sn_new (const char *service);
 void sn_free (SnSession *session);
+/* The session's caller had to wait for its start: its first statement is the
+   more urgent, or late already.  */
+void sn_waited (SnSession *session, GmTime waited);
 SnState sn_state (const SnSession *session);
 const char *sn_service (const SnSession *session);
 /* The position after the last statement; number 0: none is known.  */
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -90,12 +90,14 @@
 /* Statements from an entry host to the pool of one database.  operation is a
    PlOperation, begins a DpBegin; incarnation is that of the database, holder
    that of the pool's process, which gave the transaction its number; deadline
-   is the time left in microseconds.  values holds the session's names and
+   is the time left in microseconds, waited what the caller had spent waiting
+   before its statement came.  values holds the session's names and
    values in turn, prepared the shape of the statement that is executed.  A
    statement is either text or prepared with arguments.  */
 #define WM_STATEMENT(U, S, B) \
   U (sequence) S (database) U (incarnation) U (holder) U (operation) \
-  U (begins) U (transaction) S (service) U (deadline) U (after_term) \
+  U (begins) U (transaction) S (service) U (deadline) \
+  U (waited) U (after_term) \
   U (after_number) S (id) S (text) S (prepared) S (arguments) B (values)
 /* point is the position after the statement.  lead is the newest position of
    which the pool knows that it held every write acknowledged age microseconds
--- /dev/null
+++ b/tests/test_queue.c
@@ -0,0 +1,197 @@
+/* The order of a lane: ranks, requests that are late, the backlog after an
+   outage.  */
+#include "dispatch/queue.h"
+#include <string.h>
+
+#define START (100 * GM_SECOND)
+#define COST (5 * GM_MS)
+
+static DpRequest *
+request_new (CfRank rank, GmTime due, GmTime deadline)
+{
+  DpRequest *r = dp_request_new ();
+  r->rank = rank;
+  r->service = g_strdup ("s");
+  r->due = due;
+  r->deadline = deadline;
+  r->cost = COST;
+  return r;
+}
+
+static gboolean
+pass (DpRequest *request, gpointer data)
+{
+  (void)request;
+  (void)data;
+  return TRUE;
+}
+
+/* Requests in the order in which they came; the number of each in the order in
+   which they are served.  due is in milliseconds from now, 0: none.  */
+typedef struct
+{
+  CfRank rank;
+  int due;
+  guint served;
+} Arrival;
+
+#define ARRIVALS 6
+
+static const Arrival orders[][ARRIVALS] = {
+  /* Nothing is late: order of arrival within a rank.  */
+  { { CF_BULK, 90, 5 },
+    { CF_ROUTINE, 50, 3 },
+    { CF_URGENT, 20, 1 },
+    { CF_ROUTINE, 60, 4 },
+    { CF_URGENT, 30, 2 },
+    { CF_BULK, 95, 6 } },
+  /* Late ones go behind the others of their rank, before the next rank.  */
+  { { CF_URGENT, -10, 2 },
+    { CF_ROUTINE, -20, 4 },
+    { CF_ROUTINE, -10, 5 },
+    { CF_URGENT, 30, 1 },
+    { CF_ROUTINE, 60, 3 },
+    { CF_BULK, 90, 6 } },
+  /* Less time than a statement takes is late, too.  */
+  { { CF_URGENT, 4, 3 },
+    { CF_URGENT, 5, 1 },
+    { CF_URGENT, 6, 2 },
+    { CF_BULK, -5, 6 },
+    { CF_BULK, 40, 4 },
+    { CF_BULK, 50, 5 } },
+  /* Without a time due nothing is late.  */
+  { { CF_URGENT, 0, 1 },
+    { CF_URGENT, 0, 2 },
+    { CF_ROUTINE, 0, 3 },
+    { CF_ROUTINE, 0, 4 },
+    { CF_BULK, 0, 5 },
+    { CF_BULK, 0, 6 } },
+};
+
+static void
+test_order (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (orders); i++)
+    {
+      DqQueue *queue = dq_new (DQ_STRICT);
+      DpRequest *requests[ARRIVALS];
+      for (guint k = 0; k < ARRIVALS; k++)
+        {
+          const Arrival *a = &orders[i][k];
+          GmTime due = a->due != 0 ? START + a->due * GM_MS : 0;
+          requests[k] = request_new (a->rank, due, START + GM_SECOND);
+          dq_push (queue, requests[k]);
+        }
+      dq_age (queue, START);
+      for (guint served = 1; served <= ARRIVALS; served++)
+        {
+          const DpRequest *next = dq_take (queue, pass, NULL);
+          for (guint k = 0; k < ARRIVALS; k++)
+            if (requests[k] == next)
+              g_assert_cmpuint (orders[i][k].served, ==, served);
+        }
+      g_assert_cmpuint (dq_length (queue), ==, 0);
+      for (guint k = 0; k < ARRIVALS; k++)
+        dp_request_free (requests[k]);
+      dq_free (queue);
+    }
+}
+
+/* What a new request would wait for, behind 20 requests of which 12 are late. */
+static void
+test_wait (void)
+{
+  DqQueue *queue = dq_new (DQ_FLOORS);
+  for (guint i = 0; i < 20; i++)
+    dq_push (queue,
+             request_new (CF_URGENT,
+                          i < 12 ? START - GM_MS : START + 500 * GM_MS,
+                          START + GM_SECOND));
+  dq_age (queue, START);
+  g_assert_cmpint (dq_wait (queue, CF_URGENT, "s", 2, FALSE), ==,
+                   8 * COST / 2);
+  g_assert_cmpint (dq_wait (queue, CF_URGENT, "s", 2, TRUE), ==,
+                   20 * COST / 2);
+  static const struct
+  {
+    GmTime due;
+    gboolean late;
+  } places[] = {
+    { 0, FALSE },
+    { START + 8 * COST / 2 + COST, FALSE },
+    { START + 8 * COST / 2 + COST - 1, TRUE },
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (places); i++)
+    {
+      DpRequest *r
+          = request_new (CF_URGENT, places[i].due, START + GM_SECOND);
+      GmTime wait = dq_place (queue, r, START, 2);
+      g_assert_cmpint (r->late, ==, places[i].late);
+      g_assert_cmpint (wait, ==, (places[i].late ? 20 : 8) * COST / 2);
+      dp_request_free (r);
+    }
+  DpRequest *r;
+  while ((r = dq_take_any (queue)) != NULL)
+    dp_request_free (r);
+  dq_free (queue);
+}
+
+/* The backlog after an outage: a second's requests have waited, and arrivals go
+   on at four fifths of what the lane can serve.  Returns the share of the later
+   arrivals that are answered in time.  */
+static double
+share_in_time (gboolean by_due)
+{
+  GmTime aim = 100 * GM_MS;
+  GmTime gap = COST * 5 / 4;
+  DqQueue *queue = dq_new (DQ_FLOORS);
+  guint fresh = 0, in_time = 0;
+  GmTime now = START;
+  for (GmTime at = START - GM_SECOND; at < START; at += gap)
+    dq_push (queue,
+             request_new (CF_URGENT, by_due ? at + aim : 0, at + 9 * aim));
+  for (GmTime next = START; now < START + GM_SECOND; now += COST)
+    {
+      for (; next <= now; next += gap)
+        {
+          DpRequest *r
+              = request_new (CF_URGENT, by_due ? next + aim : 0, next + 9 * aim);
+          r->arrived = next;
+          dq_push (queue, r);
+          fresh++;
+        }
+      DpRequest *late;
+      while ((late = dq_take_late (queue, now, TRUE)) != NULL)
+        dp_request_free (late);
+      dq_age (queue, now);
+      DpRequest *r = dq_take (queue, pass, NULL);
+      if (r == NULL)
+        continue;
+      if (r->arrived >= START && now + COST <= r->arrived + aim)
+        in_time++;
+      dp_request_free (r);
+    }
+  DpRequest *r;
+  while ((r = dq_take_any (queue)) != NULL)
+    dp_request_free (r);
+  dq_free (queue);
+  return (double)in_time / fresh;
+}
+
+static void
+test_backlog (void)
+{
+  g_assert_cmpfloat (share_in_time (TRUE), >, 0.95);
+  /* In the order of arrival hardly any is: each waits behind the backlog.  */
+  g_assert_cmpfloat (share_in_time (FALSE), <, 0.2);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/queue/order", test_order);
+  g_test_add_func ("/queue/wait", test_wait);
+  g_test_add_func ("/queue/backlog", test_backlog);
+  return g_test_run ();
+}
