Silent hosts and databases are noticed before their links close

Ruled out: a shorter TCP timeout (a lost packet takes 600 ms to be sent three times). Change: lib/session/liveness decides: a host that owes an answer and says nothing for 60 ms is asked, after 250 ms it is silent. What keeps nothing, or was never sent, is given back and runs elsewhere; no more is sent there; an answer that still comes and opens a transaction is rolled back (so is one whose caller had left). A pool does the same for its database and lets one statement through every 200 ms.

--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -1,15 +1,23 @@
 #include "peers.h"
+#include "pool/pool.h"
 #include <string.h>
 
-#define TICK_MS 50 /* a request is given up this much late at most */
+#define TICK_MS 30 /* half of the time before a silent host is asked */
+/* A gap between two ticks by which this process stood still: three of them. */
+#define STALL (90 * GM_MS)
+#define RELEASE_TIME GM_SECOND /* for a roll back, which needs no slot */
 
 typedef struct Peer Peer;
 
 typedef struct
 {
   guint64 number;
-  Peer *peer;
+  Peer *peer;       /* NULL once that is gone */
+  gboolean awaited; /* an answer is due, wanted or not */
   gboolean sent;
+  gboolean lasting; /* what it asks for may have a lasting effect */
+  char *database;
+  char *service;
   WmMessage message; /* until it is sent */
   GmTime until;
   PeersAnswer answer; /* NULL: forgotten */
@@ -22,6 +30,7 @@
   char *host;
   char *address;
   LkLink *link;
+  guint due;      /* answers that were asked for */
   GQueue waiting; /* guint64 *, requests to send once the link is up */
 };
 
@@ -31,6 +40,8 @@
   Daemon *daemon;
   GHashTable *peers;    /* host -> Peer */
   GHashTable *requests; /* number -> Request */
+  LvCore *liveness;
+  GmTime ticked;
   guint64 next;
   guint timer;
 };
@@ -40,6 +51,8 @@
 {
   if (!request->sent)
     wm_clear (&request->message);
+  g_free (request->database);
+  g_free (request->service);
   g_free (request);
 }
 
@@ -53,6 +66,14 @@
   g_free (peer);
 }
 
+/* Takes REQUEST out of what its peer owes.  */
+static void
+settle (Request *request)
+{
+  if (request->peer != NULL && request->awaited && request->sent)
+    request->peer->due--;
+}
+
 /* Ends the request NUMBER without an answer.  */
 static void
 lose (Peers *p, guint64 number)
@@ -63,14 +84,38 @@
   PeersAnswer answer = request->answer;
   gpointer data = request->data;
   gboolean sent = request->sent;
+  settle (request);
   g_hash_table_remove (p->requests, &number);
   if (answer != NULL)
     answer (NULL, sent, data);
 }
 
-/* Numbers of the requests to PEER, or of all that are due at NOW.  */
+typedef gboolean (*Selector) (const Request *request, gconstpointer data);
+
+static gboolean
+is_of_peer (const Request *request, gconstpointer peer)
+{
+  return request->peer == peer;
+}
+
+static gboolean
+is_over (const Request *request, gconstpointer now)
+{
+  return *(const GmTime *)now >= request->until;
+}
+
+/* A statement that keeps nothing, or was never sent, need not wait for a
+   silent host.  */
+static gboolean
+may_leave (const Request *request, gconstpointer peer)
+{
+  return request->peer == peer && request->answer != NULL
+         && (!request->lasting || !request->sent);
+}
+
+/* Numbers of the requests that SELECTOR chooses.  */
 static GArray *
-select_requests (const Peers *p, const Peer *peer, GmTime now)
+select_requests (const Peers *p, Selector selector, gconstpointer data)
 {
   GArray *found = g_array_new (FALSE, FALSE, sizeof (guint64));
   GHashTableIter iter;
@@ -79,7 +124,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Request *request = value;
-      if (peer != NULL ? request->peer == peer : now >= request->until)
+      if (selector (request, data))
         g_array_append_val (found, request->number);
     }
   return found;
@@ -93,12 +138,51 @@
   g_array_unref (numbers);
 }
 
+/* Removes PEER and ends its requests without an answer.  */
+static void
+drop_peer (Peers *p, Peer *peer)
+{
+  GArray *lost = select_requests (p, is_of_peer, peer);
+  for (guint i = 0; i < lost->len; i++)
+    {
+      Request *request = g_hash_table_lookup (
+          p->requests, &g_array_index (lost, guint64, i));
+      request->peer = NULL;
+    }
+  lv_forget (p->liveness, peer->host);
+  g_hash_table_remove (p->peers, peer->host);
+  lose_all (p, lost);
+}
+
 static void
 send_now (Peer *peer, Request *request)
 {
+  Peers *p = peer->peers;
   request->sent = lk_send (peer->link, &request->message);
-  if (request->sent)
-    wm_clear (&request->message);
+  if (!request->sent)
+    return;
+  wm_clear (&request->message);
+  if (!request->awaited)
+    return;
+  peer->due++;
+  lv_sent (p->liveness, daemon_now (p->daemon), peer->host);
+}
+
+/* Ends a transaction that an answer tells of which nobody waits for.  */
+static void
+release (Peer *peer, const Request *request,
+         const struct wm_statement_done *done)
+{
+  if (done->open == 0 || done->transaction == 0)
+    return;
+  WmMessage m = { .type = WM_TYPE_STATEMENT,
+                  .statement = { .database = request->database,
+                                 .holder = done->holder,
+                                 .operation = PL_ROLLBACK,
+                                 .transaction = done->transaction,
+                                 .service = request->service,
+                                 .deadline = RELEASE_TIME } };
+  lk_send (peer->link, &m);
 }
 
 static void
@@ -107,6 +191,8 @@
   (void)link;
   Peer *peer = owner;
   guint64 *number;
+  lv_heard (peer->peers->liveness, daemon_now (peer->peers->daemon),
+            peer->host, FALSE);
   while ((number = g_queue_pop_head (&peer->waiting)) != NULL)
     {
       Request *request = g_hash_table_lookup (peer->peers->requests, number);
@@ -120,11 +206,17 @@
 peer_message (LkLink *link, const WmMessage *m, void *owner)
 {
   (void)link;
-  Peers *p = ((Peer *)owner)->peers;
+  Peer *peer = owner;
+  Peers *p = peer->peers;
+  Request *request
+      = m->type == WM_TYPE_STATEMENT_DONE
+            ? g_hash_table_lookup (p->requests, &m->statement_done.sequence)
+            : NULL;
+  if (request != NULL)
+    settle (request);
+  lv_heard (p->liveness, daemon_now (p->daemon), peer->host, peer->due > 0);
   if (m->type != WM_TYPE_STATEMENT_DONE)
     return;
-  Request *request
-      = g_hash_table_lookup (p->requests, &m->statement_done.sequence);
   if (request == NULL)
     {
       gm_count (GM_M_answers_late_total, 1);
@@ -132,6 +224,8 @@
     }
   PeersAnswer answer = request->answer;
   gpointer data = request->data;
+  if (answer == NULL)
+    release (peer, request, &m->statement_done);
   g_hash_table_remove (p->requests, &m->statement_done.sequence);
   if (answer != NULL)
     answer (&m->statement_done, TRUE, data);
@@ -142,10 +236,7 @@
 {
   (void)link;
   Peer *peer = owner;
-  Peers *p = peer->peers;
-  GArray *lost = select_requests (p, peer, 0);
-  g_hash_table_remove (p->peers, peer->host);
-  lose_all (p, lost);
+  drop_peer (peer->peers, peer);
 }
 
 static const LkHandler peer_handler
@@ -163,11 +254,7 @@
   if (!cf_address_parse (address, &at))
     return NULL;
   if (peer != NULL)
-    {
-      GArray *lost = select_requests (p, peer, 0);
-      g_hash_table_remove (p->peers, host);
-      lose_all (p, lost);
-    }
+    drop_peer (p, peer);
   peer = g_new0 (Peer, 1);
   peer->peers = p;
   peer->host = g_strdup (host);
@@ -179,6 +266,13 @@
   return peer;
 }
 
+static gboolean
+has_lasting_effect (const struct wm_statement *m)
+{
+  return m->operation == PL_WRITE || m->operation == PL_COMMIT
+         || m->operation == PL_ROLLBACK;
+}
+
 guint64
 peers_send (Peers *p, const char *host, const char *address,
             WmMessage *statement, GmTime until, PeersAnswer answer,
@@ -191,17 +285,30 @@
   request->until = peer != NULL ? until : 0;
   request->answer = answer;
   request->data = data;
+  request->awaited = answer != NULL;
+  request->lasting = has_lasting_effect (&statement->statement);
+  request->database = g_strdup (statement->statement.database);
+  request->service = g_strdup (statement->statement.service);
   statement->statement.sequence = answer != NULL ? request->number : 0;
   wm_copy (&request->message, statement);
   g_hash_table_insert (p->requests, &request->number, request);
   if (peer != NULL && lk_is_up (peer->link))
     send_now (peer, request);
   else if (peer != NULL)
-    g_queue_push_tail (&peer->waiting,
-                       g_memdup2 (&request->number, sizeof request->number));
+    {
+      lv_sent (p->liveness, daemon_now (p->daemon), host);
+      g_queue_push_tail (&peer->waiting,
+                         g_memdup2 (&request->number, sizeof request->number));
+    }
   return request->number;
 }
 
+const LvCore *
+peers_liveness (const Peers *p)
+{
+  return p->liveness;
+}
+
 void
 peers_forget (Peers *p, guint64 number)
 {
@@ -210,11 +317,58 @@
     request->answer = NULL;
 }
 
+/* What waits for a host that has fallen silent, and keeps nothing there, is
+   given back.  Answers that still come are taken note of.  */
+static void
+give_back (Peers *p, const Peer *peer)
+{
+  g_autoptr (GArray) numbers = select_requests (p, may_leave, peer);
+  for (guint i = 0; i < numbers->len; i++)
+    {
+      Request *request = g_hash_table_lookup (
+          p->requests, &g_array_index (numbers, guint64, i));
+      if (request == NULL || request->answer == NULL)
+        continue;
+      if (!request->sent)
+        {
+          lose (p, request->number);
+          continue;
+        }
+      PeersAnswer answer = request->answer;
+      request->answer = NULL;
+      answer (NULL, TRUE, request->data);
+    }
+}
+
+static void
+follow (Peers *p, const LvEvent *event)
+{
+  const Peer *peer = g_hash_table_lookup (p->peers, event->host);
+  if (peer == NULL)
+    return;
+  if (event->type == LV_ASK_HOST)
+    {
+      WmMessage m = { .type = WM_TYPE_PING };
+      lk_send (peer->link, &m);
+      return;
+    }
+  gm_log (GM_EV_HOST_SILENT, "%s: %u answers are due", peer->host, peer->due);
+  give_back (p, peer);
+}
+
 static gboolean
 tick (gpointer data)
 {
   Peers *p = data;
-  lose_all (p, select_requests (p, NULL, daemon_now (p->daemon)));
+  GmTime now = daemon_now (p->daemon);
+  GmTime span = p->ticked != 0 ? now - p->ticked : 0;
+  LvEvent event;
+  p->ticked = now;
+  if (span >= STALL)
+    lv_stalled (p->liveness, span);
+  while (lv_next (p->liveness, now, &event))
+    follow (p, &event);
+  lose_all (p, select_requests (p, is_over, &now));
   return G_SOURCE_CONTINUE;
 }
 
@@ -225,6 +379,7 @@
   g_source_remove (p->timer);
   g_hash_table_unref (p->peers);
   g_hash_table_unref (p->requests);
+  lv_free (p->liveness);
   g_free (p);
 }
 
@@ -240,6 +395,7 @@
                                     (GDestroyNotify)peer_free);
   p->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                        (GDestroyNotify)request_free);
+  p->liveness = lv_new ();
   p->timer = g_timeout_add (TICK_MS, tick, p);
   daemon_add (daemon, &p->task);
   return p;
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -432,6 +432,13 @@
 {
   Pools *p = (Pools *)task;
   const struct wm_statement *m = &message->statement;
+  if (message->type == WM_TYPE_PING)
+    {
+      WmMessage pong = { .type = WM_TYPE_PONG,
+                         .pong = { .number = message->ping.number } };
+      lk_send (link, &pong);
+      return TRUE;
+    }
   if (message->type != WM_TYPE_STATEMENT)
     return FALSE;
   Pool *pool = g_hash_table_lookup (p->pools, m->database);
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -17,6 +17,7 @@
   X (LINK_DOWN, 201, WARN, "a link to another host closed")                   \
   X (LINK_GARBAGE, 202, WARN, "a link was closed for a bad frame")            \
   X (LINK_REFUSED, 203, WARN, "a link was refused: wrong key or version")     \
+  X (HOST_SILENT, 204, WARN, "a host with pools does not answer")             \
   X (LEADER, 300, NOTICE, "this control host became leader")                  \
   X (NOT_LEADER, 301, NOTICE, "this control host is leader no longer")        \
   X (DISK_STOPPED, 302, ERROR, "the control log stopped: disk fault")         \
--- a/lib/pool/connections.c
+++ b/lib/pool/connections.c
@@ -189,7 +189,7 @@
     return;
   core->opening--;
   core->connect_backoff = PL_CONNECT_RETRY;
-  core->heard = now;
+  pl_heard (core, now);
   pl_conn_release (core, now, conn);
   pl_schedule (core, now);
 }
--- a/lib/pool/core.h
+++ b/lib/pool/core.h
@@ -53,6 +53,8 @@
   GmTime service;    /* mean service time */
   GHashTable *costs; /* service -> GmTime, mean time in a slot */
   GmTime heard;      /* when the database last answered anything */
+  GmTime unanswered; /* since when it owes an answer; 0: it doesn't */
+  GmTime probed;     /* when something was sent to it although it is silent */
   GmTime wrote;      /* when it last answered a write or commit */
   TkPoint acked;
   gboolean lead_known;
@@ -78,6 +80,8 @@
 void pl_conn_drop (PlCore *core, PlConn *conn);
 
 /* pool.c  */
+/* The database said something.  */
+void pl_heard (PlCore *core, GmTime now);
 PlAction *pl_push (PlCore *core, PlActionType type, guint64 conn,
                    PlRequest *request);
 void pl_schedule (PlCore *core, GmTime now);
--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -199,6 +199,8 @@
   request->others = core->answered;
   request->overdue = FALSE;
   g_ptr_array_add (core->running, request);
+  if (core->unanswered == 0)
+    core->unanswered = now;
   PlAction *action = pl_push (core, PL_RUN, conn->id, request);
   pl_bring_state (conn, request, action);
   action->begin = conn->transaction == NULL ? request->begins : DP_NO_BEGIN;
@@ -338,6 +340,41 @@
   return core->lead_known && now < core->lead_at + PL_LEAD_YOUNG;
 }
 
+void
+pl_heard (PlCore *core, GmTime now)
+{
+  core->heard = now;
+  core->unanswered = core->running->len > 0 ? now : 0;
+}
+
+/* How long the database has left everything unanswered.  */
+static GmTime
+silence (const PlCore *core, GmTime now)
+{
+  GmTime since = core->unanswered != 0 ? core->unanswered : now;
+  /* Without a connection the database has been asked since it was heard. */
+  if (g_hash_table_size (core->conns) == core->opening)
+    since = MIN (since, core->heard);
+  return MAX (now - since, 0);
+}
+
+gboolean
+pl_is_silent (const PlCore *core, GmTime now)
+{
+  return silence (core, now) >= PL_SILENT;
+}
+
+/* Whether a statement may try a silent database: one now and then shows when
+   it is back.  */
+static gboolean
+may_probe (PlCore *core, GmTime now)
+{
+  if (now < core->probed + PL_PROBE)
+    return FALSE;
+  core->probed = now;
+  return TRUE;
+}
+
 void
 pl_submit (PlCore *core, GmTime now, PlRequest *request)
 {
@@ -348,6 +385,9 @@
   else if (!core->owned)
     answer (core, request, GM_DRAINING,
             "not run: this host does not hold the database's queue");
+  else if (pl_is_silent (core, now) && !may_probe (core, now))
+    answer (core, request, GM_UNAVAILABLE,
+            "not run: the database does not answer");
   else if (request->operation == PL_LEAD && lead_is_young (core, now))
     answer (core, request, GM_OK, "");
   else if (admit (core, now, request))
@@ -407,7 +447,7 @@
 {
   gboolean wrote
       = request->operation == PL_WRITE || request->operation == PL_COMMIT;
-  core->heard = now;
+  pl_heard (core, now);
   if (wrote)
     core->wrote = now;
   if (outcome->kind == GM_OK && wrote
@@ -477,6 +517,8 @@
     }
   else
     lose_request (core, now, conn);
+  if (core->running->len == 0)
+    core->unanswered = 0;
   pl_keep_warm (core, now);
   pl_schedule (core, now);
 }
@@ -532,6 +574,27 @@
     }
 }
 
+/* Gives back what a silent database would keep waiting: what has not been
+   sent, and reads.  */
+static void
+give_up_on_silent (PlCore *core, GmTime now)
+{
+  DpRequest *queued;
+  if (!pl_is_silent (core, now))
+    return;
+  while ((queued = dq_take_any (core->queue)) != NULL)
+    answer (core, (PlRequest *)queued, GM_UNAVAILABLE,
+            "not run: the database does not answer");
+  for (guint i = core->running->len; i-- > 0;)
+    {
+      PlRequest *request = g_ptr_array_index (core->running, i);
+      gboolean reads
+          = request->operation == PL_READ || request->operation == PL_LEAD;
+      if (reads && now >= request->base.started + PL_PROBE_TIME)
+        lose_request (core, now, request->base.connection);
+    }
+}
+
 static void
 expire_transactions (PlCore *core, GmTime now)
 {
@@ -554,6 +617,7 @@
 {
   expire_running (core, now);
   watch_overdue (core, now);
+  give_up_on_silent (core, now);
   expire_transactions (core, now);
   drop_late (core, now, TRUE);
   pl_keep_warm (core, now);
@@ -566,7 +630,7 @@
   if (core->owned == owned)
     return;
   core->owned = owned;
-  core->heard = now;
+  pl_heard (core, now);
   DpRequest *queued;
   while (!owned && (queued = dq_take_any (core->queue)) != NULL)
     answer (core, (PlRequest *)queued, GM_DRAINING,
@@ -589,6 +653,8 @@
 pl_stalled (PlCore *core, GmTime span)
 {
   core->heard += span;
+  if (core->unanswered != 0)
+    core->unanswered += span;
   core->wrote += span;
   for (guint i = 0; i < core->running->len; i++)
     ((PlRequest *)g_ptr_array_index (core->running, i))->base.started += span;
@@ -597,21 +663,17 @@
 void
 pl_health (const PlCore *core, GmTime now, PlHealth *health)
 {
-  GmTime waits = G_MAXINT64, writes = now;
+  GmTime writes = now;
   for (guint i = 0; i < core->running->len; i++)
     {
       const PlRequest *r = g_ptr_array_index (core->running, i);
-      waits = MIN (waits, r->base.started);
       if (r->operation == PL_WRITE || r->operation == PL_COMMIT)
         writes = MIN (writes, r->base.started);
     }
   guint up = g_hash_table_size (core->conns) - core->opening;
-  /* Without a connection the database has been asked since it was heard. */
-  if (up == 0)
-    waits = core->heard;
-  GmTime silent = waits == G_MAXINT64 ? 0 : now - MAX (waits, core->heard);
+  GmTime silent = silence (core, now);
   health->reachable = up > 0 && silent < TO_SILENT;
-  health->silent = (guint64)(MAX (silent, 0) / GM_MS);
+  health->silent = (guint64)(silent / GM_MS);
   /* One write without an answer is a lost answer; none at all is a primary
      that nobody confirms.  */
   health->stuck
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -22,6 +22,12 @@
 #define PL_OVERDUE (40 * GM_MS)
 #define PL_OVERDUE_COSTS 8
 #define PL_OVERDUE_OTHERS 6
+/* A database that leaves everything unanswered for so long is out of reach:
+   its reads run elsewhere, and nothing more is sent there.  Five times the
+   longest statement in an unloaded system.  */
+#define PL_SILENT (250 * GM_MS)
+#define PL_PROBE (200 * GM_MS)         /* then one statement is let through */
+#define PL_PROBE_TIME (100 * GM_MS)    /* for the answer to it */
 #define PL_CONNECTING_MAX 4            /* as DP_CONNECTING_MAX */
 #define PL_CONNECT_RETRY (100 * GM_MS) /* as DP_CONNECT_RETRY */
 #define PL_CONNECT_RETRY_MAX GM_SECOND /* as DP_CONNECT_RETRY_MAX */
@@ -158,6 +164,8 @@
 gboolean pl_lead (const PlCore *core, TkPoint *point, GmTime *at);
 /* Time that a further statement of RANK would wait for a slot.  */
 GmTime pl_wait (const PlCore *core, CfRank rank, const char *service);
+/* Whether the database has left everything unanswered for PL_SILENT.  */
+gboolean pl_is_silent (const PlCore *core, GmTime now);
 /* What the pool sees of its database: how long it has left everything
    unanswered, and how long its oldest write runs, in milliseconds; whether a
    connection is up; the highest position that a write was answered with.  */
--- a/lib/session/router.c
+++ b/lib/session/router.c
@@ -41,6 +41,7 @@
 struct SrRouter
 {
   char *data_centre;
+  const LvCore *hosts;
   GHashTable *groups;    /* name -> Group */
   GHashTable *estimates; /* id -> Estimate */
 };
@@ -53,9 +54,10 @@
 }
 
 SrRouter *
-sr_new (const char *data_centre)
+sr_new (const char *data_centre, const LvCore *hosts)
 {
   SrRouter *router = g_new0 (SrRouter, 1);
+  router->hosts = hosts;
   router->data_centre = g_strdup (data_centre);
   router->groups = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)group_free);
@@ -196,6 +198,13 @@
   return group != NULL ? group->newest.at : 0;
 }
 
+gboolean
+sr_can_reach (const SrRouter *router, const CsState *state, const char *id)
+{
+  const CsHost *host = cs_pool (state, id);
+  return host != NULL && !lv_is_silent (router->hosts, host->host);
+}
+
 const CsDatabase *
 sr_primary (const SrRouter *router, const CsState *state, const char *name)
 {
@@ -234,7 +243,7 @@
       const CsDatabase *d = g_hash_table_lookup (state->databases, id);
       const Estimate *estimate = g_hash_table_lookup (router->estimates, id);
       if (d == NULL || g_strcmp0 (id, except) == 0
-          || (d->leaving && d != primary)
+          || (d->leaving && d != primary) || !sr_can_reach (router, state, id)
           || (d != primary && !has_probably (estimate, now, at)))
         continue;
       GmTime time = expected_time (router, now, d, d == primary);
--- a/lib/session/router.h
+++ b/lib/session/router.h
@@ -10,6 +10,7 @@
    Pure: no clock, no sockets.  */
 #pragma once
 #include "cstate/cstate.h"
+#include "liveness.h"
 #include "token/token.h"
 
 #define SR_SPACING                                                            \
@@ -19,8 +20,9 @@
 
 typedef struct SrRouter SrRouter;
 
-/* A router on a host of DATA_CENTRE.  */
-SrRouter *sr_new (const char *data_centre);
+/* A router on a host of DATA_CENTRE.  HOSTS, borrowed, tells which hosts are
+   silent: the databases whose queues they hold are not chosen.  */
+SrRouter *sr_new (const char *data_centre, const LvCore *hosts);
 void sr_free (SrRouter *router);
 /* The control state changed.  */
 void sr_state (SrRouter *router, const CsState *state);
@@ -41,6 +43,9 @@
                    TkPoint *point, GmTime *at);
 /* When the newest position of GROUP was taken; 0: none is known.  */
 GmTime sr_newest (const SrRouter *router, const char *group);
+/* Whether the host that holds the queue of the database ID can be sent to.  */
+gboolean sr_can_reach (const SrRouter *router, const CsState *state,
+                       const char *id);
 /* The primary of GROUP, or NULL when none is known to lead.  */
 const CsDatabase *sr_primary (const SrRouter *router, const CsState *state,
                               const char *group);
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -327,6 +327,12 @@
              "not run: no database is there to serve it");
       return;
     }
+  if (!sr_can_reach (world->router, world->state, database->id))
+    {
+      later (s, world, step, GM_UNAVAILABLE,
+             "not run: the host that holds the queue does not answer");
+      return;
+    }
   send (s, world, host->host, host->link, database->id, database->incarnation,
         step);
 }
@@ -516,11 +522,18 @@
 sn_lost (SnSession *s, const SnWorld *world, gboolean sent, SnStep *step)
 {
   memset (step, 0, sizeof *step);
-  const SnCall *call = &s->call;
+  SnCall *call = &s->call;
   gboolean harmless = !sent || call->operation == PL_READ;
   gboolean kept = (call->operation == PL_WRITE || call->operation == PL_COMMIT)
                   && sent && !GM_MUTANT (GUESS_NOT_RUN);
-  if (harmless && s->transaction == 0)
+  gboolean elsewhere = harmless && s->transaction == 0
+                       && call->after.position > 0 && call->except == NULL;
+  if (elsewhere)
+    {
+      call->except = g_strdup (call->database);
+      forward (s, world, step);
+    }
+  else if (harmless && s->transaction == 0)
     later (s, world, step, GM_UNAVAILABLE,
            "not run: the host that holds the queue can't be reached");
   else if (kept)
@@ -532,7 +545,7 @@
     }
   else
     {
-      forget_transaction (s);
+      /* Whoever holds it rolls it back, once the word gets there.  */
       sn_answer (s, step, GM_TRANSACTION_LOST,
                  "the transaction's host was lost; it has no effect");
     }
--- a/lib/session/session.h
+++ b/lib/session/session.h
@@ -121,7 +121,8 @@
 /* The statement that was sent was answered.  */
 void sn_result (SnSession *session, const SnWorld *world,
                 const struct wm_statement_done *done, SnStep *step);
-/* The link closed; SENT says whether the statement may have arrived.  */
+/* The link closed, or the host at its other end has fallen silent and the
+   statement need not wait for it; SENT says whether it may have arrived.  */
 void sn_lost (SnSession *session, const SnWorld *world, gboolean sent,
               SnStep *step);
 /* The wait is over.  */
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -87,6 +87,12 @@
   U (transaction) U (token_term) U (token_position) S (database) \
   U (replica) B (rows)
 
+/* Whether the other end of a link is there; it sends the same number back.  */
+#define WM_PING(U, S, B) \
+  U (number)
+#define WM_PONG(U, S, B) \
+  U (number)
+
 /* Statements from an entry host to the pool of one database.  operation is a
    PlOperation, begins a DpBegin; incarnation is that of the database, holder
    that of the pool's process, which gave the transaction its number; deadline
@@ -170,6 +176,8 @@
   M (STATUS_ASK, status_ask)                                                  \
   M (STATUS_TEXT, status_text)                                                \
   M (VOTER, voter)                                                            \
+  M (PING, ping)                                                              \
+  M (PONG, pong)                                                              \
   M (SEEN, seen)                                                              \
   M (EXEC, exec)                                                              \
   M (RESULT, result)                                                          \
--- a/tests/fuzz/sessions.h
+++ b/tests/fuzz/sessions.h
@@ -37,6 +37,7 @@
   guint64 incarnation;
   CsState *state;
   SrRouter *router;
+  LvCore *liveness;
   guint64 transactions;
   Pool pools[MD_DATABASES]; /* core NULL: not held */
 };
