--- a/lib/session/liveness.h
+++ b/lib/session/liveness.h
@@ -1,9 +1,10 @@
 /* Which other hosts have fallen silent.
 
-   A host that was cut off, froze or lost its power closes no link: what was sent
-   to it waits.  One that says nothing for a while although it was sent
-   something is asked whether it is there; when that brings nothing either, it is
-   silent until it is heard again.  What can run elsewhere need not wait for it.
+   A host that was cut off, froze or lost its power closes no link: what was
+   sent to it waits.  One that says nothing for a while although it was sent
+   something is asked whether it is there; when that brings nothing either, it
+   is silent until it is heard again.  What can run elsewhere need not wait for
+   it.
 
    Pure: the shell sends the questions and carries out what silence means.  */
 #pragma once
@@ -13,15 +14,15 @@
    then.  */
 #define LV_ASK (60 * GM_MS)
 #define LV_ASK_AGAIN (100 * GM_MS) /* while it stays silent */
-/* With the question unanswered for three times as long: a host that is short of
-   processor time answers sooner.  */
+/* With the question unanswered for three times as long: a host that is short
+   of processor time answers sooner.  */
 #define LV_SILENT (250 * GM_MS)
 
 typedef struct LvCore LvCore;
 
 typedef enum
 {
-  LV_ASK_HOST,  /* ask the host whether it is there */
+  LV_ASK_HOST,   /* ask the host whether it is there */
   LV_FELL_SILENT /* what waits for it may run elsewhere */
 } LvEventType;
 
--- a/tests/fuzz/session_callers.c
+++ b/tests/fuzz/session_callers.c
@@ -8,7 +8,6 @@
 }
 
 static void retry_later (World *w, gpointer data);
-static void give_up (World *w, gpointer data);
 
 static void
 promise (World *w, guint64 uid)
@@ -80,7 +79,7 @@
       sw_at (w,
              w->now + (GmTime)step->statement.statement.deadline
                  + SN_ANSWER_GRACE,
-             give_up, g_memdup2 (&c->sequence, sizeof c->sequence));
+             sw_give_up, g_memdup2 (&c->sequence, sizeof c->sequence));
     }
   else if (step->next == SN_WAIT)
     {
@@ -128,8 +127,8 @@
   follow (w, c, &step);
 }
 
-static void
-give_up (World *w, gpointer data)
+void
+sw_give_up (World *w, gpointer data)
 {
   guint64 *sequence = data;
   Caller *c = waiting_for (w, *sequence);
--- a/tests/fuzz/session_pools.c
+++ b/tests/fuzz/session_pools.c
@@ -197,6 +197,16 @@
   return NULL;
 }
 
+/* Whether MESSAGE is held up on its way, by a host that has fallen silent: its
+   sender gives it up and goes on, and it still arrives.  */
+static gboolean
+is_held_up (World *w, const struct wm_statement *m)
+{
+  gboolean lasting = m->operation == PL_WRITE || m->operation == PL_COMMIT
+                     || m->operation == PL_ROLLBACK;
+  return !w->calm && !lasting && m->sequence != 0 && sw_chance (w, 20);
+}
+
 void
 sw_post (World *w, Caller *c, const char *host, WmMessage *message)
 {
@@ -204,5 +214,13 @@
   parcel->from = c->host;
   parcel->to = host_of (w, host);
   wm_copy (&parcel->message, message);
-  sw_at (w, w->now + sw_delay (w, 2 * GM_MS), deliver_statement, parcel);
+  GmTime delay = sw_delay (w, 2 * GM_MS);
+  if (is_held_up (w, &message->statement))
+    {
+      guint64 sequence = message->statement.sequence;
+      delay += LV_SILENT + sw_delay (w, GM_SECOND);
+      sw_at (w, w->now + LV_SILENT, sw_give_up,
+             g_memdup2 (&sequence, sizeof sequence));
+    }
+  sw_at (w, w->now + delay, deliver_statement, parcel);
 }
--- a/tests/fuzz/sessions.h
+++ b/tests/fuzz/sessions.h
@@ -120,6 +120,9 @@
 /* Events: a caller's next statement; an answer, of a Parcel, arrives.  */
 void sw_next_statement (World *w, gpointer data);
 void sw_deliver_answer (World *w, gpointer data);
+/* Event: the statement with the sequence in a guint64, if it is still on its
+   way, is given up by the caller's host.  */
+void sw_give_up (World *w, gpointer data);
 /* The statement of C on its way is lost with its link.  */
 void sw_lose (World *w, Caller *c);
 
--- a/tests/test_liveness.c
+++ b/tests/test_liveness.c
@@ -27,7 +27,9 @@
 
 static const Step schedules[][STEPS] = {
   /* Answered in time: never asked.  */
-  { { 0, SENT, 0, FALSE }, { 40, HEARD, 0, FALSE }, { 900, NOTHING, 0, FALSE } },
+  { { 0, SENT, 0, FALSE },
+    { 40, HEARD, 0, FALSE },
+    { 900, NOTHING, 0, FALSE } },
   /* A slow statement on a host that is there: asked, and heard.  */
   { { 0, SENT, 0, FALSE },
     { 70, NOTHING, 1, FALSE },
