A suspected primary is asked early; hosts know sooner that they are cut off

Change: the leader asks after 150 ms of silence and knows by 400 ms; conditions for a change are the same. A control host without stamps is left after 500 ms (was 800), a host without any counts as cut off after 1 s (was 1.5). Test first: the question comes before the suspicion, which alone replaces nobody.

--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -7,7 +7,7 @@
 /* A gap between two ticks by which this process stood still: six of them.  */
 #define STALL (60 * GM_MS)
 #define REPORT (500 * GM_MS)        /* half of the age at which it is old */
-#define REPORT_TROUBLE (50 * GM_MS) /* an eighth of the suspected silence */
+#define REPORT_TROUBLE (50 * GM_MS) /* an eighth of TO_SILENT */
 #define TICK_MS 10 /* a fifth of the shortest service time seen at a slot */
 
 typedef struct Pool Pool;
@@ -336,7 +336,8 @@
                                .stuck = health.stuck,
                                .open = health.open } };
   wm_append (out, &seen);
-  return !health.reachable || health.stuck * GM_MS >= (guint64)TO_STUCK;
+  return !health.reachable || health.silent * GM_MS >= (guint64)TO_ASK
+         || health.stuck * GM_MS >= (guint64)TO_STUCK;
 }
 
 /* Tells the control leader what this host's pools see of their databases.  */
--- a/lib/control/subscriber.h
+++ b/lib/control/subscriber.h
@@ -15,8 +15,9 @@
 /* A link that is not up by then is given up: a host without power does not
    refuse it.  A host that has just started answers within 100 ms.  */
 #define SB_DIAL_TIME (150 * GM_MS)
-/* Then another control host is tried: four heartbeats without a stamp.  */
-#define SB_STAMP_STALE (800 * GM_MS)
+/* Then another control host is tried: two heartbeats and a half without a
+   stamp.  */
+#define SB_STAMP_STALE (500 * GM_MS)
 #define SB_BEAT (200 * GM_MS)
 #define SB_BEAT_FENCED (50 * GM_MS) /* while callers wait for a stamp */
 #define SB_REDIAL (50 * GM_MS)      /* a third of SB_DIAL_TIME */
@@ -43,7 +44,7 @@
 gboolean sb_is_fresh (const SbCore *core, GmTime now);
 /* A host without a stamp for so long is cut off from control: the time to
    leave a control host and to try two others.  */
-#define SB_CUT_OFF (1500 * GM_MS)
+#define SB_CUT_OFF (1000 * GM_MS)
 /* Whether the host has been without news from control for so long that others
    may know better.  */
 gboolean sb_is_cut_off (const SbCore *core, GmTime now);
--- a/lib/failover/takeover.c
+++ b/lib/failover/takeover.c
@@ -353,8 +353,9 @@
   gboolean grace = now < own->settled_at + TO_SETTLE_GRACE;
   if (primary->leaving)
     return "the primary is leaving";
-  if (fresh && seen->silent * GM_MS >= (guint64)TO_SILENT
-      && fails_to_answer (core, now, own, primary))
+  gboolean unanswered = fresh && seen->silent * GM_MS >= (guint64)TO_ASK
+                        && fails_to_answer (core, now, own, primary);
+  if (unanswered && seen->silent * GM_MS >= (guint64)TO_SILENT)
     return "the primary does not answer";
   if (fresh && !grace && seen->stuck * GM_MS >= (guint64)TO_STUCK
       && others_serve (core, now, state, primary))
--- a/lib/failover/takeover.h
+++ b/lib/failover/takeover.h
@@ -31,6 +31,8 @@
 /* A primary that leaves what runs there unanswered: longer than the longest
    statement seen, with those before it.  */
 #define TO_SILENT (400 * GM_MS)
+/* Then the leader asks it itself, so that it knows by TO_SILENT.  */
+#define TO_ASK (150 * GM_MS)
 /* Heartbeats come every 1.2 s, and up to a second late.  */
 #define TO_UNHEARD (2500 * GM_MS)
 /* No write is confirmed: longer than one takes whose packets are lost twice.
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -195,6 +195,28 @@
     }
 }
 
+/* The leader asks a primary that may be silent before it has been for long
+   enough to be replaced: the answer, or none, is there by then.  */
+static void
+test_asked_early (void)
+{
+  Bench b = bench_new ();
+  report_all (&b, 100, 0, 40);
+  look (&b);
+  g_assert_cmpuint (b.calls[FO_CALL_STATUS], ==, 0);
+  report_all (&b, 200, 0, 40);
+  look (&b);
+  g_assert_cmpuint (b.calls[FO_CALL_STATUS], ==, 1);
+  to_called (b.core, b.now, "db0", FALSE, NULL);
+  look (&b);
+  g_assert_cmpstr (primary (&b), ==, "db0");
+  b.now += 100 * GM_MS;
+  report_all (&b, 400, 0, 40);
+  look (&b);
+  g_assert_cmpstr (primary (&b), ==, "");
+  bench_free (&b);
+}
+
 /* Positions that the databases answer after the seal (number 0: it can't be
    reached; the old primary is sealed only as a replica), and who is promoted;
    "" while another one is waited for.  */
@@ -408,6 +430,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/takeover/suspicion", test_suspicion);
+  g_test_add_func ("/takeover/asked-early", test_asked_early);
   g_test_add_func ("/takeover/choice", test_choice);
   g_test_add_func ("/takeover/tokens", test_tokens);
   g_test_add_func ("/takeover/next-leader", test_next_leader);
