A primary that is cut off with its pool's host is replaced sooner

Nobody reported on the primary, and it was replaced only once its heartbeats were missing for 2.5 s: at 12.13 s. Ruled out: more reports (they go to the leader from each host). Change: 700 ms without a report the leader asks the primary itself; when that brings no answer for 400 ms, it is replaced. A host that is silent for 1 s (was 1.5) is taken out of the control state, and its queues move. Test first: table of quiet times and answers; a primary that answers stays.

--- a/lib/failover/members.h
+++ b/lib/failover/members.h
@@ -6,7 +6,7 @@
 #pragma once
 #include "cstate/cstate.h"
 
-#define MB_HOST_SILENCE (1500 * GM_MS)
+#define MB_HOST_SILENCE (1 * GM_SECOND) /* five heartbeats */
 /* A host whose link closed has this long to be heard through another control
    host.  */
 #define MB_LINK_GRACE (500 * GM_MS)
--- a/lib/failover/takeover.c
+++ b/lib/failover/takeover.c
@@ -19,6 +19,7 @@
   gboolean calling;
   GmTime answered; /* the last call that it answered; 0: none */
   GmTime failed;   /* the last call that it did not answer; 0: none */
+  GmTime failing;  /* since when it has answered no call; 0: it has */
   gboolean known;  /* status is set */
   GmTime known_at; /* when it was */
   FoDatabase status;
@@ -205,9 +206,15 @@
   seen->calling = FALSE;
   seen->ask_at = now + TO_CALL_RETRY;
   if (answered)
-    seen->answered = now;
+    {
+      seen->answered = now;
+      seen->failing = 0;
+    }
   else
-    seen->failed = now;
+    {
+      seen->failed = now;
+      seen->failing = seen->failing != 0 ? seen->failing : seen->asked;
+    }
   if (status == NULL)
     return;
   seen->status = *status;
@@ -357,6 +364,11 @@
                         && fails_to_answer (core, now, own, primary);
   if (unanswered && seen->silent * GM_MS >= (guint64)TO_SILENT)
     return "the primary does not answer";
+  /* Its pool may be cut off together with it.  */
+  if (now >= MAX (seen->reported, core->led) + TO_REPORT_LATE
+      && fails_to_answer (core, now, own, primary)
+      && now >= seen->failing + TO_SILENT)
+    return "the primary does not answer, and nobody reports on it";
   if (fresh && !grace && seen->stuck * GM_MS >= (guint64)TO_STUCK
       && others_serve (core, now, state, primary))
     return "the primary's writes are not confirmed";
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -195,6 +195,46 @@
     }
 }
 
+/* A primary that is cut off together with the host that holds its queue:
+   nobody reports on it, and the leader's own calls decide.  Milliseconds since
+   the last report.  */
+static const struct
+{
+  guint quiet;
+  gboolean answers;
+  gboolean replaced;
+} unreported[] = {
+  { 600, FALSE, FALSE }, /* a report may be on its way */
+  { 900, FALSE, FALSE }, /* asked, and silent for too short a time */
+  { 1300, FALSE, TRUE },
+  { 1300, TRUE, FALSE }, /* it is its queue's host that is gone */
+};
+
+static void
+test_unreported (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (unreported); i++)
+    {
+      Bench b = bench_new ();
+      report_all (&b, 0, 0, 40);
+      GmTime begun = b.now;
+      GmTime asked = 0;
+      while (b.now < begun + unreported[i].quiet * GM_MS)
+        {
+          look (&b);
+          if (b.calls[FO_CALL_STATUS] > 0 && asked == 0)
+            asked = b.now;
+          if (asked == 0 || b.now < asked + TO_CALL_TIME)
+            continue;
+          to_called (b.core, b.now, "db0", unreported[i].answers, NULL);
+          b.calls[FO_CALL_STATUS] = 0;
+          asked = 0;
+        }
+      g_assert_cmpint (*primary (&b) == '\0', ==, unreported[i].replaced);
+      bench_free (&b);
+    }
+}
+
 /* The leader asks a primary that may be silent before it has been for long
    enough to be replaced: the answer, or none, is there by then.  */
 static void
@@ -431,6 +471,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/takeover/suspicion", test_suspicion);
   g_test_add_func ("/takeover/asked-early", test_asked_early);
+  g_test_add_func ("/takeover/unreported", test_unreported);
   g_test_add_func ("/takeover/choice", test_choice);
   g_test_add_func ("/takeover/tokens", test_tokens);
   g_test_add_func ("/takeover/next-leader", test_next_leader);
