A host that is cut off stands in for queues that it can't reach

The balancer uses all hosts of a data centre when fewer than half are ready, so callers go on coming; the databases can be reached, but the hosts that hold their queues can't, and news of other holders does not come. Ruled out: standing in whenever a holder is silent (twenty hosts would open connections at once where control replaces a frozen holder within a second). Change: cut off from control, and with the holder silent, an entry host serves through a queue of its own with two connections, given up 2 s after its last use. Two queues cost connections and order; the database checks positions and the lead itself.

--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -8,6 +8,11 @@
 #define STALL (60 * GM_MS)
 #define REPORT (500 * GM_MS)        /* half of the age at which it is old */
 #define REPORT_TROUBLE (50 * GM_MS) /* an eighth of TO_SILENT */
+/* Connections of a queue that stands in for its holder's: as many as let a
+   transaction and single statements run, since all hosts on this side of a cut
+   may have one.  */
+#define STAND_IN_CONNECTIONS 2
+#define STAND_IN_IDLE (2 * GM_SECOND) /* then it is given up */
 #define TICK_MS 10 /* a fifth of the shortest service time seen at a slot */
 
 typedef struct Pool Pool;
@@ -33,6 +38,7 @@
   CfAddress address;
   guint64 incarnation;
   gboolean pumping;
+  GmTime stood_in;          /* when last asked to; 0: it is this host's own */
   GHashTable *conns;        /* number -> Conn */
   GHashTable *transactions; /* number -> link number of its entry host */
 };
@@ -215,6 +221,13 @@
   pool->pumping = FALSE;
 }
 
+/* Whether POOL stands in for one that this host can't reach.  */
+static gboolean
+stands_in (const Pool *pool)
+{
+  return pool->stood_in != 0 && now_of (pool) < pool->stood_in + STAND_IN_IDLE;
+}
+
 static Pool *
 pool_new (Pools *p, const CsDatabase *database)
 {
@@ -259,8 +272,12 @@
                             ? (guint64)group->connections
                             : database->connections;
   GmTime now = daemon_now (p->daemon);
+  if (mine)
+    pool->stood_in = 0;
+  else if (pool->stood_in != 0)
+    connections = STAND_IN_CONNECTIONS;
   pl_set_floors (pool->core, cs_declaration (state)->floor);
-  pl_own (pool->core, now, mine);
+  pl_own (pool->core, now, mine || stands_in (pool));
   pl_limits (pool->core, now, (guint)database->slots, (guint)connections,
              cs_declaration (state)->transaction_idle_ms * GM_MS);
   pump (pool);
@@ -287,7 +304,7 @@
       gboolean mine = host != NULL
                       && strcmp (host->host, p->daemon->settings->host) == 0;
       if (is_same (pool, g_hash_table_lookup (state->databases, key))
-          && (mine || !is_empty (pool)))
+          && (mine || stands_in (pool) || !is_empty (pool)))
         continue;
       gm_log (GM_EV_OWNER, "the queue of %s: given up", pool->id);
       pl_drop_connections (pool->core, now_of (pool));
@@ -364,6 +381,21 @@
   subscription_send (p->daemon->subscription, &m);
 }
 
+/* Whether POOL stood in, and nobody asked for it of late.  */
+static gboolean
+is_over (gpointer id, gpointer value, gpointer now)
+{
+  (void)id;
+  (void)now;
+  Pool *pool = value;
+  if (pool->stood_in == 0 || stands_in (pool) || !is_empty (pool))
+    return FALSE;
+  gm_log (GM_EV_OWNER, "the queue of %s: stood in for, given up", pool->id);
+  pl_drop_connections (pool->core, now_of (pool));
+  pump (pool);
+  return TRUE;
+}
+
 static gboolean
 tick (gpointer data)
 {
@@ -371,6 +403,7 @@
   GHashTableIter iter;
   gpointer value;
   guint64 queued = 0;
+  g_hash_table_foreach_remove (p->pools, is_over, NULL);
   GmTime now = daemon_now (p->daemon);
   GmTime span = p->ticked != 0 ? now - p->ticked : 0;
   p->ticked = now;
@@ -404,6 +437,33 @@
     lk_send (link, &done);
 }
 
+/* The pool that stands in for M's database's, or NULL where there is no such
+   database.  */
+static Pool *
+stand_in (Pools *p, const struct wm_statement *m)
+{
+  const CsState *state = subscription_state (p->daemon->subscription);
+  const CsDatabase *database
+      = g_hash_table_lookup (state->databases, m->database);
+  Pool *pool = g_hash_table_lookup (p->pools, m->database);
+  if (database == NULL || cs_declaration (state) == NULL)
+    return NULL;
+  if (pool == NULL)
+    pool = pool_new (p, database);
+  if (pool == NULL)
+    return NULL;
+  const CsHost *holder = cs_pool (state, database->id);
+  gboolean mine = holder != NULL
+                  && strcmp (holder->host, p->daemon->settings->host) == 0;
+  if (mine)
+    return pool;
+  gboolean begins = !stands_in (pool);
+  pool->stood_in = now_of (pool);
+  if (begins)
+    update_pool (p, pool, state, database, FALSE);
+  return pool;
+}
+
 /* Whether M can be submitted to POOL; stores why not in STATUS.  */
 static GmKind
 check (const Pools *p, const Pool *pool, const struct wm_statement *m,
@@ -442,7 +502,8 @@
     }
   if (message->type != WM_TYPE_STATEMENT)
     return FALSE;
-  Pool *pool = g_hash_table_lookup (p->pools, m->database);
+  Pool *pool = m->stand_in != 0 ? stand_in (p, m)
+                                : g_hash_table_lookup (p->pools, m->database);
   GmStatus status;
   if (check (p, pool, m, &status) != GM_OK)
     {
--- a/lib/failover/takeover.h
+++ b/lib/failover/takeover.h
@@ -40,9 +40,10 @@
 #define TO_STUCK (1 * GM_SECOND)
 #define TO_LEAVE_GRACE (300 * GM_MS)  /* for transactions to end by then */
 #define TO_REPORT_OLD (1 * GM_SECOND) /* two reports missed */
-#define TO_REPORT_LATE (700 * GM_MS)  /* one missed, and the way of the next  \
-                                       */
-#define TO_CALL_TIME (250 * GM_MS)    /* for an answer of a database */
+#define TO_REPORT_LATE                                                        \
+  (700 * GM_MS)                    /* one missed, and the way of the next     \
+                                    */
+#define TO_CALL_TIME (250 * GM_MS) /* for an answer of a database */
 #define TO_CALL_RETRY (50 * GM_MS)
 /* An answer that is missed, and one more try: a replica takes longer to start
    again than that.  */
--- a/lib/session/router.c
+++ b/lib/session/router.c
@@ -231,7 +231,8 @@
 
 const CsDatabase *
 sr_reader (const SrRouter *router, const CsState *state, GmTime now,
-           const char *name, GmTime at, const char *except)
+           const char *name, GmTime at, const char *except,
+           gboolean out_of_reach)
 {
   const Group *group = g_hash_table_lookup (router->groups, name);
   const CsDatabase *primary = sr_primary (router, state, name);
@@ -243,7 +244,8 @@
       const CsDatabase *d = g_hash_table_lookup (state->databases, id);
       const Estimate *estimate = g_hash_table_lookup (router->estimates, id);
       if (d == NULL || g_strcmp0 (id, except) == 0
-          || (d->leaving && d != primary) || !sr_can_reach (router, state, id)
+          || (d->leaving && d != primary)
+          || (!out_of_reach && !sr_can_reach (router, state, id))
           || (d != primary && !has_probably (estimate, now, at)))
         continue;
       GmTime time = expected_time (router, now, d, d == primary);
--- a/lib/session/router.h
+++ b/lib/session/router.h
@@ -51,7 +51,8 @@
                               const char *group);
 /* The database of GROUP that is expected to answer a read first, which
    needs the position that the primary had AT a time; EXCEPT, or NULL, is not
-   chosen.  NULL when there is none.  */
+   chosen.  One whose queue can't be reached is chosen only with OUT_OF_REACH.
+   NULL when there is none.  */
 const CsDatabase *sr_reader (const SrRouter *router, const CsState *state,
                              GmTime now, const char *group, GmTime at,
-                             const char *except);
+                             const char *except, gboolean out_of_reach);
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -180,11 +180,12 @@
   return wm_strings_encode ((const char *const *)list->pdata, list->len);
 }
 
-/* Sends the statement on its way to HOST, which holds DATABASE's pool.  */
+/* Sends the statement on its way to HOST, which holds DATABASE's pool, or
+   stands in for the host that does.  */
 static void
 send (SnSession *s, const SnWorld *world, const char *host,
       const char *address, const char *database, guint64 incarnation,
-      SnStep *step)
+      gboolean stand_in, SnStep *step)
 {
   SnCall *call = &s->call;
   const SnStatement *statement = &call->statement;
@@ -218,7 +219,8 @@
         .text = g_strdup (executes ? NULL : statement->text),
         .prepared = g_strdup (executes ? call->shape : NULL),
         .arguments = g_strdup (executes ? statement->argument : NULL),
-        .values = encode_values (s) }
+        .values = encode_values (s),
+        .stand_in = stand_in ? 1 : 0 }
   };
 }
 
@@ -261,8 +263,13 @@
     call->begins = DP_BEGIN_READ;
   if (call->to_primary)
     return sr_primary (world->router, world->state, s->group);
+  const CsDatabase *reader
+      = sr_reader (world->router, world->state, world->now, s->group,
+                   call->after_at, call->except, FALSE);
+  if (reader != NULL || !world->cut_off)
+    return reader;
   return sr_reader (world->router, world->state, world->now, s->group,
-                    call->after_at, call->except);
+                    call->after_at, call->except, TRUE);
 }
 
 static const CfService *
@@ -300,7 +307,7 @@
 {
   if (s->transaction != 0)
     {
-      send (s, world, s->host, s->address, s->database, 0, step);
+      send (s, world, s->host, s->address, s->database, 0, FALSE, step);
       return;
     }
   const CfService *service = find_service (s, world);
@@ -327,14 +334,16 @@
              "not run: no database is there to serve it");
       return;
     }
-  if (!sr_can_reach (world->router, world->state, database->id))
-    {
-      later (s, world, step, GM_UNAVAILABLE,
-             "not run: the host that holds the queue does not answer");
-      return;
-    }
-  send (s, world, host->host, host->link, database->id, database->incarnation,
-        step);
+  if (sr_can_reach (world->router, world->state, database->id))
+    send (s, world, host->host, host->link, database->id,
+          database->incarnation, FALSE, step);
+  else if (world->cut_off && world->host != NULL)
+    /* News of another holder would not come here.  */
+    send (s, world, world->host, world->link, database->id,
+          database->incarnation, TRUE, step);
+  else
+    later (s, world, step, GM_UNAVAILABLE,
+           "not run: the host that holds the queue does not answer");
 }
 
 /* Sets what kind of statement is on its way.  FALSE when it can't be.  */
--- a/lib/session/session.h
+++ b/lib/session/session.h
@@ -97,6 +97,10 @@
   const CsState *state;
   SrRouter *router;
   gboolean cut_off; /* the state may be old: another host may serve */
+  /* This host, which stands in for a queue's holder that it can't reach while
+     it is cut off; NULL where it holds no queues.  */
+  const char *host;
+  const char *link;
 } SnWorld;
 
 /* A session that asked for the service SERVICE.  */
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -98,13 +98,16 @@
    that of the pool's process, which gave the transaction its number; deadline
    is the time left in microseconds, waited what the caller had spent waiting
    before its statement came.  values holds the session's names and
-   values in turn, prepared the shape of the statement that is executed.  A
+   values in turn, prepared the shape of the statement that is executed.
+   stand_in: the sender's own host serves it, since the queue's holder is out of
+   reach.  A
    statement is either text or prepared with arguments.  */
 #define WM_STATEMENT(U, S, B) \
   U (sequence) S (database) U (incarnation) U (holder) U (operation) \
   U (begins) U (transaction) S (service) U (deadline) \
   U (waited) U (after_term) \
-  U (after_number) S (id) S (text) S (prepared) S (arguments) B (values)
+  U (after_number) S (id) S (text) S (prepared) S (arguments) B (values) \
+  U (stand_in)
 /* point is the position after the statement.  lead is the newest position of
    which the pool knows that it held every write acknowledged age microseconds
    ago.  wait is the time that a further statement would wait.  open says
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -238,6 +238,19 @@
 eventually 10 now_reads 3 12
 check newest-manifest-everywhere $?
 
+# An entry host that is cut off from control and from the holders of the queues
+# stands in for them: it reads and writes by itself.
+eventually 10 once 4 orders "READ a" "ROW *"
+for n in 1 2 3 5 6; do signal "host$n" STOP; done
+eventually 15 once 4 orders "WRITE cut 1" "DONE sig.*"
+check cut-off-host-writes $? "$answer"
+once 4 orders "READ cut" "ROW 1 *"
+check cut-off-host-reads $? "$answer"
+for n in 1 2 3 5 6; do signal "host$n" CONT; done
+eventually 15 once 5 orders "READ cut" "ROW 1 *"
+check cut-healed $? "$answer"
+eventually 10 once 4 orders "READ cut" "ROW 1 *"
+
 # The settings file changes, in mid-transaction: by a signal, without one, and
 # into something that can't be read.
 noted () { grep -q "$1" "$DIR/host4.log"; }
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -246,16 +246,24 @@
   const char *service;
   SnVerb verb;
   const char *silent; /* hosts, with blanks between */
+  gboolean cut_off;   /* this host, from control */
   const char *database;
+  const char *host; /* that serves it */
 } silences[] = {
-  { "bounded", SN_READ, "", "db1" },
-  { "bounded", SN_READ, "host1", "db2" },
-  { "bounded", SN_READ, "host1 host2", "db0" },
-  { "bounded", SN_READ, "host0 host1 host2", "" },
-  { "bounded", SN_READ, "host0", "db1" },
-  { "primary", SN_READ, "host1 host2", "db0" },
-  { "primary", SN_READ, "host0", "" },
-  { "primary", SN_WRITE, "host0", "" },
+  { "bounded", SN_READ, "", FALSE, "db1", "host1" },
+  { "bounded", SN_READ, "host1", FALSE, "db2", "host2" },
+  { "bounded", SN_READ, "host1 host2", FALSE, "db0", "host0" },
+  { "bounded", SN_READ, "host0 host1 host2", FALSE, "", "" },
+  { "bounded", SN_READ, "host0", FALSE, "db1", "host1" },
+  { "primary", SN_READ, "host1 host2", FALSE, "db0", "host0" },
+  { "primary", SN_READ, "host0", FALSE, "", "" },
+  { "primary", SN_WRITE, "host0", FALSE, "", "" },
+  /* Cut off as well: this host stands in, where no other serves.  */
+  { "bounded", SN_READ, "host1", TRUE, "db2", "host2" },
+  { "bounded", SN_READ, "host0 host1 host2", TRUE, "db1", "self" },
+  { "primary", SN_READ, "host0", TRUE, "db0", "self" },
+  { "primary", SN_WRITE, "host0", TRUE, "db0", "self" },
+  { "primary", SN_WRITE, "host1", TRUE, "db0", "host0" },
 };
 
 static void
@@ -270,13 +278,21 @@
         lv_sent (b.hosts, START - GM_SECOND, hosts[k]);
       while (lv_next (b.hosts, START, &event))
         ;
+      b.world.cut_off = silences[i].cut_off;
+      b.world.host = "self";
+      b.world.link = "127.0.0.1:3";
       sr_note_lead (b.router, "g", (TkPoint){ 1, 7 }, START - 100 * GM_MS);
       take (&b, silences[i].verb, NULL, NULL);
       gboolean goes = *silences[i].database != '\0';
       g_assert_cmpint (b.step.next, ==, goes ? SN_SEND : SN_WAIT);
       if (goes)
-        g_assert_cmpstr (b.step.statement.statement.database, ==,
-                         silences[i].database);
+        {
+          const struct wm_statement *sent = &b.step.statement.statement;
+          g_assert_cmpstr (sent->database, ==, silences[i].database);
+          g_assert_cmpstr (b.step.host, ==, silences[i].host);
+          g_assert_cmpint (sent->stand_in != 0, ==,
+                           strcmp (silences[i].host, "self") == 0);
+        }
       bench_free (&b);
     }
 }
