A table of phases and faults; reads go elsewhere at once, a silent host's transaction ends

The table (nine phases, seven faults) showed three things: - a read by position that its replica's pool gave back after 250 ms was refused, since its hold was over, instead of going to another copy; - COMMIT was sent to a host that was known to be silent, and its outcome unknown at the deadline; now the transaction ends at once, before anything is sent; - a write could be the statement that tries whether a silent database is back, and be in doubt; reads do that now, writes only where none come for a second.

--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -367,9 +367,12 @@
 /* Whether a statement may try a silent database: one now and then shows when
    it is back.  */
 static gboolean
-may_probe (PlCore *core, GmTime now)
+may_probe (PlCore *core, GmTime now, const PlRequest *request)
 {
-  if (now < core->probed + PL_PROBE)
+  gboolean reads
+      = request->operation == PL_READ || request->operation == PL_LEAD;
+  GmTime since = MAX (core->probed, core->unanswered + PL_SILENT);
+  if (now < (reads ? core->probed + PL_PROBE : since + PL_PROBE_WRITE))
     return FALSE;
   core->probed = now;
   return TRUE;
@@ -385,7 +388,7 @@
   else if (!core->owned)
     answer (core, request, GM_DRAINING,
             "not run: this host does not hold the database's queue");
-  else if (pl_is_silent (core, now) && !may_probe (core, now))
+  else if (pl_is_silent (core, now) && !may_probe (core, now, request))
     answer (core, request, GM_UNAVAILABLE,
             "not run: the database does not answer");
   else if (request->operation == PL_LEAD && lead_is_young (core, now))
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -26,7 +26,10 @@
    its reads run elsewhere, and nothing more is sent there.  Five times the
    longest statement in an unloaded system.  */
 #define PL_SILENT (250 * GM_MS)
-#define PL_PROBE (200 * GM_MS)         /* then one statement is let through */
+#define PL_PROBE (200 * GM_MS) /* then one statement is let through */
+/* The same for writes, whose outcome would be unknown if it is still silent:
+   only where no reads come.  */
+#define PL_PROBE_WRITE (1 * GM_SECOND)
 #define PL_PROBE_TIME (100 * GM_MS)    /* for the answer to it */
 #define PL_CONNECTING_MAX 4            /* as DP_CONNECTING_MAX */
 #define PL_CONNECT_RETRY (100 * GM_MS) /* as DP_CONNECT_RETRY */
--- a/lib/session/router.c
+++ b/lib/session/router.c
@@ -198,6 +198,12 @@
   return group != NULL ? group->newest.at : 0;
 }
 
+gboolean
+sr_is_silent (const SrRouter *router, const char *host)
+{
+  return lv_is_silent (router->hosts, host);
+}
+
 gboolean
 sr_can_reach (const SrRouter *router, const CsState *state, const char *id)
 {
--- a/lib/session/router.h
+++ b/lib/session/router.h
@@ -46,6 +46,8 @@
 /* Whether the host that holds the queue of the database ID can be sent to.  */
 gboolean sr_can_reach (const SrRouter *router, const CsState *state,
                        const char *id);
+/* Whether HOST has fallen silent.  */
+gboolean sr_is_silent (const SrRouter *router, const char *host);
 /* The primary of GROUP, or NULL when none is known to lead.  */
 const CsDatabase *sr_primary (const SrRouter *router, const CsState *state,
                               const char *group);
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -115,12 +115,6 @@
   return s->point;
 }
 
-gboolean
-sn_is_busy (const SnSession *s)
-{
-  return s->busy;
-}
-
 void
 sn_release (SnSession *s, SnStep *step)
 {
@@ -305,6 +299,12 @@
 static void
 forward (SnSession *s, const SnWorld *world, SnStep *step)
 {
+  if (s->transaction != 0 && sr_is_silent (world->router, s->host))
+    {
+      sn_answer (s, step, GM_TRANSACTION_LOST,
+                 "not run: the transaction's host does not answer");
+      return;
+    }
   if (s->transaction != 0)
     {
       send (s, world, s->host, s->address, s->database, 0, FALSE, step);
@@ -510,9 +510,9 @@
   if (may_try_again (s, kind))
     {
       SnCall *call = &s->call;
+      /* The other copies may serve what one can't.  */
       gboolean elsewhere = call->after.position > 0 && call->except == NULL
-                           && (kind == GM_LAGGING || kind == GM_DEADLINE
-                               || kind == GM_QUEUE_FULL);
+                           && kind != GM_READ_ONLY && kind != GM_STALE;
       g_free (call->except);
       call->except = g_strdup (call->database);
       call->to_primary = call->to_primary || kind == GM_LAGGING;
--- a/lib/session/session.h
+++ b/lib/session/session.h
@@ -113,8 +113,6 @@
 const char *sn_service (const SnSession *session);
 /* The position after the last statement; number 0: none is known.  */
 TkPoint sn_point (const SnSession *session);
-/* Whether a statement is on its way.  */
-gboolean sn_is_busy (const SnSession *session);
 /* Takes STATEMENT, which is emptied.  Another one must not be on its way.  */
 void sn_take (SnSession *session, const SnWorld *world, SnStatement *statement,
               SnStep *step);
