--- a/tests/test_phases.c
+++ b/tests/test_phases.c
@@ -1,8 +1,9 @@
-/* What a caller hears, by the phase that its statement or transaction was in when
-   something was lost: a session at its entry host and the pool of a database
-   together, without a network.  */
+/* What a caller hears, by the phase that its statement or transaction was in
+   when something was lost: a session at its entry host and the pool of a
+   database together, without a network.  */
 #include "pool/pool.h"
 #include "session/session.h"
+#include "three.h"
 #include <string.h>
 
 #define START (100 * GM_SECOND)
@@ -36,18 +37,18 @@
   QUEUE_MOVES,   /* the pool is given up */
   LINK_LOST,     /* between the entry host and the pool's */
   HOST_SILENT,   /* the pool's */
-  ANSWER_LOST, /* it runs, and only the others are answered */
+  ANSWER_LOST,   /* it runs, and only the others are answered */
   FAULTS
 } Fault;
 
 /* How it ends for the caller.  */
 typedef enum
 {
-  ELSEWHERE,  /* it is sent to another database */
-  NOT_RUN,    /* refused, after other tries: nothing is kept */
-  ABORTED,    /* the transaction has no effect */
-  IN_DOUBT,   /* it may have had an effect */
-  SERVED      /* it goes on as if nothing had happened */
+  ELSEWHERE, /* it is sent to another database */
+  NOT_RUN,   /* refused, after other tries: nothing is kept */
+  ABORTED,   /* the transaction has no effect */
+  IN_DOUBT,  /* it may have had an effect */
+  SERVED     /* it goes on as if nothing had happened */
 } End;
 
 static const struct
@@ -100,60 +101,24 @@
   guint64 transactions;
   guint64 transaction; /* the session's, at the pool */
   char database[16];
-  guint sent; /* to the pool */
-  gboolean dark;         /* the database answers nothing */
-  PlRequest *running;    /* the session's */
+  guint sent;         /* to the pool */
+  gboolean dark;      /* the database answers nothing */
+  PlRequest *running; /* the session's */
   guint64 running_on;
-  GArray *others;        /* guint64, connections that others run on */
+  GArray *others; /* guint64, connections that others run on */
   gboolean elsewhere;
 } Bench;
 
-static void
-add_database (CsState *state, guint i)
-{
-  g_autofree char *id = g_strdup_printf ("db%u", i);
-  g_autofree char *place = g_strdup_printf ("dc%u", i);
-  g_autofree char *host = g_strdup_printf ("host%u", i);
-  WmMessage up = { .type = WM_TYPE_CMD_HOST,
-                   .cmd_host = { .host = host,
-                                 .incarnation = 1,
-                                 .caller = (char *)"",
-                                 .link = (char *)"127.0.0.1:1",
-                                 .data_centre = place,
-                                 .roles = CS_POOL } };
-  WmMessage m = { .type = WM_TYPE_CMD_DATABASE,
-                  .cmd_database = { .id = id,
-                                    .group = (char *)"g",
-                                    .address = (char *)"127.0.0.1:2",
-                                    .data_centre = place,
-                                    .slots = 2,
-                                    .incarnation = 1,
-                                    .term = 1,
-                                    .primary = i == 0 ? 1 : 0 } };
-  cs_apply (state, state->version + 1, &up, NULL);
-  cs_apply (state, state->version + 1, &m, NULL);
-}
-
 static void
 bench_init (Bench *b, const char *service)
 {
   static const DpPolicy policy
       = { .order = DQ_FLOORS, .admission = TRUE, .extra = 1 };
   memset (b, 0, sizeof *b);
-  b->state = cs_new ();
+  b->state = three_databases (declaration);
   b->hosts = lv_new ();
   b->router = sr_new ("dc1", b->hosts);
   b->others = g_array_new (FALSE, FALSE, sizeof (guint64));
-  g_autoptr (GBytes) text
-      = g_bytes_new_static (declaration, strlen (declaration));
-  WmMessage config = { .type = WM_TYPE_CMD_CONFIG,
-                       .cmd_config = { .number = 1,
-                                       .digest = (char *)"d",
-                                       .text = text,
-                                       .who = (char *)"test" } };
-  cs_apply (b->state, 1, &config, NULL);
-  for (guint i = 0; i < 3; i++)
-    add_database (b->state, i);
   sr_state (b->router, b->state);
   b->world = (SnWorld){ START, b->state, b->router };
   sr_note_lead (b->router, "g", (TkPoint){ 1, 7 }, START - 100 * GM_MS);
@@ -368,8 +333,8 @@
         while (lv_next (b->hosts, b->world.now, &event))
           ;
         /* The shell keeps waiting for what may have a lasting effect.  */
-        gboolean lasting = phase == QUEUED_WRITE || phase == WRITE
-                           || phase == COMMIT;
+        gboolean lasting
+            = phase == QUEUED_WRITE || phase == WRITE || phase == COMMIT;
         b->dark = TRUE;
         if (phase != PAUSE && !lasting)
           lose (b);
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -2,6 +2,7 @@
    is told when something is lost.  */
 #include "pool/pool.h"
 #include "session/session.h"
+#include "three.h"
 #include <string.h>
 
 #define START (100 * GM_SECOND)
@@ -26,49 +27,13 @@
   SnStep step;
 } Bench;
 
-static void
-add_database (CsState *state, guint i)
-{
-  g_autofree char *id = g_strdup_printf ("db%u", i);
-  g_autofree char *place = g_strdup_printf ("dc%u", i);
-  g_autofree char *host = g_strdup_printf ("host%u", i);
-  WmMessage up = { .type = WM_TYPE_CMD_HOST,
-                   .cmd_host = { .host = host,
-                                 .incarnation = 1,
-                                 .caller = (char *)"",
-                                 .link = (char *)"127.0.0.1:1",
-                                 .data_centre = place,
-                                 .roles = CS_POOL } };
-  WmMessage m = { .type = WM_TYPE_CMD_DATABASE,
-                  .cmd_database = { .id = id,
-                                    .group = (char *)"g",
-                                    .address = (char *)"127.0.0.1:2",
-                                    .data_centre = place,
-                                    .slots = 2,
-                                    .incarnation = 1,
-                                    .term = 1,
-                                    .primary = i == 0 ? 1 : 0 } };
-  cs_apply (state, state->version + 1, &up, NULL);
-  cs_apply (state, state->version + 1, &m, NULL);
-}
-
 static Bench
 bench_new (const char *service)
 {
   LvCore *hosts = lv_new ();
-  Bench b = { .state = cs_new (),
+  Bench b = { .state = three_databases (declaration),
               .hosts = hosts,
               .router = sr_new ("dc1", hosts) };
-  g_autoptr (GBytes) text
-      = g_bytes_new_static (declaration, strlen (declaration));
-  WmMessage config = { .type = WM_TYPE_CMD_CONFIG,
-                       .cmd_config = { .number = 1,
-                                       .digest = (char *)"d",
-                                       .text = text,
-                                       .who = (char *)"test" } };
-  cs_apply (b.state, 1, &config, NULL);
-  for (guint i = 0; i < 3; i++)
-    add_database (b.state, i);
   sr_state (b.router, b.state);
   b.world = (SnWorld){ START, b.state, b.router };
   b.session = sn_new (service);
--- /dev/null
+++ b/tests/three.c
@@ -0,0 +1,45 @@
+#include "three.h"
+#include <string.h>
+
+static void
+add_database (CsState *state, guint i)
+{
+  g_autofree char *id = g_strdup_printf ("db%u", i);
+  g_autofree char *place = g_strdup_printf ("dc%u", i);
+  g_autofree char *host = g_strdup_printf ("host%u", i);
+  WmMessage up = { .type = WM_TYPE_CMD_HOST,
+                   .cmd_host = { .host = host,
+                                 .incarnation = 1,
+                                 .caller = (char *)"",
+                                 .link = (char *)"127.0.0.1:1",
+                                 .data_centre = place,
+                                 .roles = CS_POOL } };
+  WmMessage m = { .type = WM_TYPE_CMD_DATABASE,
+                  .cmd_database = { .id = id,
+                                    .group = (char *)"g",
+                                    .address = (char *)"127.0.0.1:2",
+                                    .data_centre = place,
+                                    .slots = 2,
+                                    .incarnation = 1,
+                                    .term = 1,
+                                    .primary = i == 0 ? 1 : 0 } };
+  cs_apply (state, state->version + 1, &up, NULL);
+  cs_apply (state, state->version + 1, &m, NULL);
+}
+
+CsState *
+three_databases (const char *declaration)
+{
+  CsState *state = cs_new ();
+  g_autoptr (GBytes) text
+      = g_bytes_new_static (declaration, strlen (declaration));
+  WmMessage config = { .type = WM_TYPE_CMD_CONFIG,
+                       .cmd_config = { .number = 1,
+                                       .digest = (char *)"d",
+                                       .text = text,
+                                       .who = (char *)"test" } };
+  cs_apply (state, 1, &config, NULL);
+  for (guint i = 0; i < 3; i++)
+    add_database (state, i);
+  return state;
+}
