A control host that joins answers over the link that it was reached by

Cause of that: it had no address of the leader, which is not among its seeds, and a host sent over links that it had dialed itself only. It learns the members from the leader's entries, which come once it has answered. The settings file named the leader 2.4 s later; without that it would have stayed outside. Change: what needs no answer of its own goes over the link that the other end dialed, where there is none of one's own; it replaces dialing again when a host speaks. Test first: process case, a control host whose only seed does not lead (red before).

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -5,7 +5,6 @@
 
 #define TICK_MS 10
 #define REDIAL (200 * GM_MS)
-#define DIAL_TIME (50 * GM_MS) /* for a host that is known to run */
 #define HISTORY_SHOWN 500
 
 /* Another control host, dialed by this one.  */
@@ -17,7 +16,6 @@
   CfAddress address;
   LkLink *link;
   GmTime dial_at; /* 0: dialed */
-  GmTime dialed;
 } Peer;
 
 struct Control
@@ -28,6 +26,7 @@
   CoCore *core;
   Takeover *takeover; /* NULL: databases are replaced by their dispatchers */
   GPtrArray *peers;   /* Peer * */
+  GHashTable *spoken; /* host -> number of the link that it last spoke on */
   guint timer;
 };
 
@@ -52,6 +51,31 @@
   return NULL;
 }
 
+/* Whether MESSAGE asks for an answer, which goes back by the link's number: it
+   needs a link that its receiver has accepted.  */
+static gboolean
+wants_answer (const WmMessage *message)
+{
+  return message->type == WM_TYPE_PROPOSE || message->type == WM_TYPE_VOTER
+         || message->type == WM_TYPE_STATUS_ASK;
+}
+
+/* The link to HOST for MESSAGE: the one dialed to it, or the one that it
+   dialed itself.  Whoever joins does not know the leader's address before the
+   leader has told it.  */
+static LkLink *
+link_to (const Control *c, const char *host, const WmMessage *message)
+{
+  const Peer *peer = find_peer (c, host);
+  if (peer != NULL && peer->link != NULL && lk_is_up (peer->link))
+    return peer->link;
+  if (wants_answer (message))
+    return NULL;
+  gpointer number = g_hash_table_lookup (c->spoken, host);
+  return number != NULL ? daemon_link (c->daemon, GPOINTER_TO_SIZE (number))
+                        : NULL;
+}
+
 static void
 pump (Control *c)
 {
@@ -60,10 +84,8 @@
     takeover_pump (c->takeover);
   while (co_take_send (c->core, &send))
     {
-      const Peer *peer = send.link == 0 ? find_peer (c, send.to) : NULL;
       LkLink *link = send.link != 0 ? daemon_link (c->daemon, send.link)
-                     : peer != NULL ? peer->link
-                                    : NULL;
+                                    : link_to (c, send.to, &send.message);
       if (link != NULL)
         lk_send (link, &send.message);
       g_free (send.to);
@@ -100,9 +122,11 @@
 static void
 peer_message (LkLink *link, const WmMessage *m, void *owner)
 {
-  (void)link;
   Control *c = ((Peer *)owner)->control;
-  co_receive_answer (c->core, m);
+  if (m->type == WM_TYPE_PROPOSED || m->type == WM_TYPE_STATUS_TEXT)
+    co_receive_answer (c->core, m);
+  else
+    co_receive (c->core, daemon_now (c->daemon), 0, lk_peer (link), m);
   pump (c);
 }
 
@@ -176,7 +200,6 @@
         continue;
       lk_close (peer->link);
       peer->dial_at = 0;
-      peer->dialed = now;
       peer->link = lk_dial (&peer->address, &c->daemon->identity,
                             &peer_handler, peer);
     }
@@ -357,27 +380,13 @@
   lk_send (link, &answer);
 }
 
-/* HOST speaks, so that it is there: an attempt to reach it from before it was
-   waits for the network in vain.  */
-static void
-dial_again (Control *c, const char *host)
-{
-  GmTime now = daemon_now (c->daemon);
-  Peer *peer = find_peer (c, host);
-  if (peer != NULL && !(peer->link != NULL && lk_is_up (peer->link))
-      && peer->dial_at == 0 && now >= peer->dialed + DIAL_TIME)
-    {
-      peer->dial_at = now;
-      dial_peers (c);
-    }
-}
-
 static gboolean
 control_message (DaemonTask *task, guint64 number, LkLink *link,
                  const WmMessage *m)
 {
   Control *c = (Control *)task;
-  dial_again (c, lk_peer (link));
+  g_hash_table_replace (c->spoken, g_strdup (lk_peer (link)),
+                        GSIZE_TO_POINTER (number));
   if (m->type == WM_TYPE_STATUS_ASK)
     take_status_ask (c, link, m);
   else
@@ -386,10 +395,18 @@
   return TRUE;
 }
 
+static gboolean
+is_link (gpointer host, gpointer link, gpointer number)
+{
+  (void)host;
+  return link == number;
+}
+
 static void
 control_link_down (DaemonTask *task, guint64 number)
 {
   Control *c = (Control *)task;
+  g_hash_table_foreach_remove (c->spoken, is_link, GSIZE_TO_POINTER (number));
   co_link_down (c->core, daemon_now (c->daemon), number);
   pump (c);
 }
@@ -490,6 +507,7 @@
   Control *c = (Control *)task;
   g_clear_handle_id (&c->timer, g_source_remove);
   g_ptr_array_unref (c->peers);
+  g_hash_table_unref (c->spoken);
   takeover_free (c->takeover);
   if (c->core != NULL)
     co_free (c->core);
@@ -516,6 +534,7 @@
   c->task.class = &control_class;
   c->daemon = daemon;
   c->peers = g_ptr_array_new_with_free_func ((GDestroyNotify)peer_free);
+  c->spoken = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->files = cl_file_store_open (settings->data, status);
   if (c->files != NULL)
     {
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -251,6 +251,19 @@
 check cut-healed $? "$answer"
 eventually 10 once 4 orders "READ cut" "ROW 1 *"
 
+# A control host that is told of one other only, which does not lead: it can't
+# know the leader's address before the leader has told it the members.
+leader=$(grep -H "GM300" "$DIR"/host[123].log | sort -t: -k2 | tail -1 | sed 's/.*host\([123]\).log.*/\1/')
+follower=$((leader % 3 + 1))
+write_control 7
+sed -i "s/\"seeds\": \[[^]]*\]/\"seeds\": [\"127.0.0.1:$((BASE + follower))\"]/; s/\"found\": true/\"found\": false/" "$DIR/host7.json"
+start_host 7
+joined () { [ "$(cat "$DIR/host7.log" 2>/dev/null | grep -c GM305)" -gt 2 ]; }
+eventually 10 joined
+check control-host-joins-through-a-follower $?
+eventually 10 now_reads 7 "$(http GET "$(control_port 1)" /api/config/describe | sed -n 's/.*"version":\([0-9]*\),.*/\1/p')"
+check joined-host-reads-back $?
+
 # The settings file changes, in mid-transaction: by a signal, without one, and
 # into something that can't be read.
 noted () { grep -q "$1" "$DIR/host4.log"; }
