--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -1,5 +1,10 @@
 /* Numbered log events, written through log4c, and the process's counters.
 
+   A log line is one JSON object: time, level, event, name, text, and id where
+   it is about a request.  Lines are written within a budget of bytes a second
+   and never waited for; those that are dropped are counted in a line of their
+   own.
+
    Both lists are closed and kept once.  docs/EVENTS.md is checked against
    GM_EVENTS by the tests.  Not thread-safe: one main context per process.  */
 #pragma once
@@ -13,6 +18,7 @@
   X (SETTINGS_REFUSED, 103, ERROR, "the settings file was refused")           \
   X (LISTEN_FAILED, 104, ERROR, "a listening address could not be opened")    \
   X (SETTINGS_CHANGED, 105, NOTICE, "the settings file changed")              \
+  X (LOG_DROPPED, 106, WARN, "log lines were dropped")                        \
   X (LINK_UP, 200, INFO, "a link to another host is up")                      \
   X (LINK_DOWN, 201, WARN, "a link to another host closed")                   \
   X (LINK_GARBAGE, 202, WARN, "a link was closed for a bad frame")            \
@@ -42,6 +48,10 @@
   X (CONNECTION_LOST, 602, INFO, "a database connection was lost")            \
   X (TRANSACTION_ENDED, 603, INFO, "a transaction was ended by the system")   \
   X (STATEMENT_REFUSED, 610, INFO, "a statement was answered with an error")  \
+  X (STATEMENT_SENT, 612, INFO, "a statement went to a database's queue")     \
+  X (STATEMENT_AGAIN, 613, INFO, "a statement is tried once more")            \
+  X (STATEMENT_RAN, 614, INFO, "a queue answered a statement")                \
+  X (STATEMENT_SERVED, 615, INFO, "a statement was answered with success")    \
   X (LINE_REFUSED, 611, WARN, "a caller's line could not be read")            \
   X (MANIFEST, 620, INFO, "an operator's manifest was taken or refused")      \
   X (ANNOUNCEMENT_BAD, 621, WARN, "an announcement could not be read")        \
@@ -82,6 +92,7 @@
   X (control_stamp_age_ms, "age of the control stamp in milliseconds")        \
   X (connections_open, "callers' connections")                                \
   X (requests_open, "requests in progress")                                   \
+  X (log_lines_dropped_total, "log lines that were dropped")                  \
   X (queue_length, "requests queued in this host's dispatchers")
 
 typedef enum
@@ -92,7 +103,13 @@
       GM_METRIC_COUNT
 } GmMetric;
 
-/* Opens the log: FILE, or standard error when FILE is NULL.  LEVEL is one of
+#define GM_LOG_SECOND G_USEC_PER_SEC
+/* Requests of which every line is written, on all hosts: enough to see each
+   kind of request every second at a hundred a second, 1 or 2 lines of each
+   host's.  */
+#define GM_LOG_SAMPLE_ONE_IN 64
+
+/* Opens the log: FILE, or standard output when FILE is NULL.  LEVEL is one of
    "error", "warn", "notice", "info", "debug".  Returns FALSE when FILE can't
    be opened.  */
 gboolean gm_log_open (const char *file, const char *level);
@@ -102,8 +119,16 @@
 void gm_log_reopen (void);
 /* Closes the log.  */
 void gm_log_close (void);
-/* Writes one line: number, name, message.  */
+/* Writes one line about the process.  */
 void gm_log (GmEvent event, const char *format, ...) G_GNUC_PRINTF (2, 3);
+/* Whether all lines about the request ID are written.  */
+gboolean gm_is_sampled (const char *id);
+/* Writes one line about the request ID, which may be NULL: if it is sampled,
+   or if it FAILED with this.  */
+void gm_trace (GmEvent event, const char *id, gboolean failed,
+               const char *format, ...) G_GNUC_PRINTF (4, 5);
+/* The name and log4c level of EVENT.  */
+gboolean gm_event_find (GmEvent event, const char **name, int *level);
 /* Appends the catalogue of events to OUT as a Markdown table.  */
 void gm_log_catalogue (GString *out);
 
