Log lines are JSON objects with the request's id; galenamount explain orders them

Traced: sent where and why (position and its age, control state's version), tried again and why, what a queue answered (waited, ran, its length), the answer. galenamount explain ID FILE... puts them in order and marks the one that decided.

--- a/cli/commands.h
+++ b/cli/commands.h
@@ -12,6 +12,7 @@
   X ("control", command_control, "replace or remove a control host")          \
   X ("run", command_run, "run one statement")                                 \
   X ("load", command_load, "send a measured load")                            \
+  X ("explain", command_explain, "order the log lines of one request")        \
   X ("events", command_events, "print the catalogue of log events")
 
 #define X(name, function, help) int function (int argc, char **argv);
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -178,6 +178,25 @@
   db_run (c->conn, &call);
 }
 
+static void
+trace_answer (const Pool *pool, const PlRequest *r)
+{
+  GmTime now = now_of (pool);
+  gboolean failed = r->kind != GM_OK;
+  if (r->id == NULL || (!failed && !gm_is_sampled (r->id)))
+    return;
+  PlCounts counts;
+  pl_counts (pool->core, &counts);
+  gboolean ran = r->base.started != 0;
+  gm_trace (GM_EV_STATEMENT_RAN, r->id, failed,
+            "%s: %s%s%s; waited %" G_GINT64_FORMAT " ms, ran %" G_GINT64_FORMAT
+            " ms%s; %u queued, %u running",
+            pool->id, gm_kind_text (r->kind), failed ? ": " : "", r->message,
+            ((ran ? r->base.started : now) - r->base.arrived) / GM_MS,
+            ran ? (now - r->base.started) / GM_MS : 0,
+            r->base.late ? ", late" : "", counts.queued, counts.running);
+}
+
 /* Answers over the link that the request came by, if it is still up.  A
    transaction whose entry host has gone is given up.  */
 static void
@@ -186,6 +205,7 @@
   LkLink *link
       = daemon_link (pool->pools->daemon, GPOINTER_TO_SIZE (r->owner));
   WmMessage m;
+  trace_answer (pool, r);
   pl_request_done (pool->core, r, now_of (pool),
                    pool->pools->daemon->identity.incarnation, &m);
   if (r->transaction != 0 && !r->open)
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -21,6 +21,7 @@
 void
 sn_step_clear (SnStep *step)
 {
+  g_free (step->id);
   g_free (step->signature);
   g_clear_pointer (&step->rows, g_bytes_unref);
   g_free (step->host);
@@ -137,6 +138,12 @@
 sn_answer (SnSession *s, SnStep *step, GmKind kind, const char *message)
 {
   step->next = SN_ANSWER;
+  if (s->busy)
+    {
+      step->id = g_steal_pointer (&s->call.statement.id);
+      step->arrived = s->call.arrived;
+      step->attempts = s->call.attempts;
+    }
   step->kind = kind;
   g_strlcpy (step->message, message, sizeof step->message);
   if (kind != GM_OK && s->state != SN_NO_TRANSACTION)
@@ -174,6 +181,27 @@
   return wm_strings_encode ((const char *const *)list->pdata, list->len);
 }
 
+/* Tells why the statement on its way goes to DATABASE.  */
+static void
+trace_sent (const SnSession *s, const SnWorld *world, const char *host,
+            const char *database, gboolean stand_in)
+{
+  const SnCall *call = &s->call;
+  if (!gm_is_sampled (call->statement.id))
+    return;
+  g_autofree char *after
+      = call->after.position > 0
+            ? g_strdup_printf ("after %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
+                               " of %" G_GINT64_FORMAT " ms ago",
+                               call->after.term, call->after.position,
+                               (world->now - call->after_at) / GM_MS)
+            : g_strdup ("at the primary");
+  gm_trace (GM_EV_STATEMENT_SENT, call->statement.id, FALSE,
+            "%s: to %s at %s%s, %s, try %u, control state %" G_GUINT64_FORMAT,
+            s->service, database, host, stand_in ? ", standing in" : "", after,
+            call->attempts, world->state->version);
+}
+
 /* Sends the statement on its way to HOST, which holds DATABASE's pool, or
    stands in for the host that does.  */
 static void
@@ -192,6 +220,7 @@
     g_free (old[i]);
   call->attempts++;
   call->sent_at = world->now;
+  trace_sent (s, world, host, database, stand_in);
   step->next = SN_SEND;
   step->host = g_strdup (host);
   step->address = g_strdup (address);
@@ -388,6 +417,7 @@
   memset (statement, 0, sizeof *statement);
   if (sn_serve_here (s, &st, step))
     {
+      step->id = g_steal_pointer (&st.id);
       sn_statement_clear (&st);
       return;
     }
@@ -517,6 +547,10 @@
       call->except = g_strdup (call->database);
       call->to_primary = call->to_primary || kind == GM_LAGGING;
       gm_count (GM_M_statements_again_total, 1);
+      gm_trace (GM_EV_STATEMENT_AGAIN, call->statement.id, FALSE,
+                "%s: %s: %s; %s", call->database, gm_kind_text (kind),
+                done->message != NULL ? done->message : "",
+                elsewhere ? "to another copy" : "later");
       if (elsewhere)
         forward (s, world, step);
       else
@@ -535,6 +569,9 @@
   gboolean harmless = !sent || call->operation == PL_READ;
   gboolean kept = (call->operation == PL_WRITE || call->operation == PL_COMMIT)
                   && sent && !GM_MUTANT (GUESS_NOT_RUN);
+  gm_trace (GM_EV_STATEMENT_AGAIN, call->statement.id, TRUE,
+            "%s: no answer of %s, %s", call->database, call->host,
+            sent ? "sent" : "not sent");
   gboolean elsewhere = harmless && s->transaction == 0
                        && call->after.position > 0 && call->except == NULL;
   if (elsewhere)
--- a/lib/session/session.h
+++ b/lib/session/session.h
@@ -73,6 +73,9 @@
   GmKind kind;
   char message[GM_MESSAGE_MAX];
   guint64 retry_ms;
+  char *id;        /* of the statement that is answered; NULL: it has none */
+  GmTime arrived;  /* 0: it was answered at once */
+  guint attempts;  /* at databases */
   char *signature; /* NULL: answered without a database */
   GBytes *rows;
 
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -184,6 +184,9 @@
 fault "$(primary)" lose
 open 3 4 orders && says 3 "WRITE d 1" "ERR INDOUBT*"
 check lost-answer-is-in-doubt $? "$answer"
+explained=$("$BIN/galenamount" explain "id$serial" "$DIR"/host[456].log)
+grep -q "^=>.*STATEMENT_RAN: .*outcome_unknown" <<<"$explained" && grep -q "STATEMENT_REFUSED: orders: outcome_unknown" <<<"$explained"
+check lost-answer-explained $? "$explained"
 close 3
 eventually 5 once 5 orders "READ d" "ROW 1 *"
 check lost-answer-was-kept $? "$answer"
--- a/tests/test_phases.c
+++ b/tests/test_phases.c
@@ -419,6 +419,9 @@
         if (phase == PAUSE)
           take (&b, SN_COMMIT);
         run_on (&b, fault);
+        /* Its answer can be found by the statement's id.  */
+        if (!b.elsewhere)
+          g_assert_cmpstr (b.step.id, ==, "id");
         if (end_of (&b) != phases[i].ends[fault])
           g_test_message ("%s, %s: %s (%s) instead of %s", phases[i].name,
                           faults[fault], ends[end_of (&b)], b.step.message,
