--- a/cli/explain.c
+++ b/cli/explain.c
@@ -36,15 +36,14 @@
   return g_strdup (value != NULL ? json_object_get_string (value) : "");
 }
 
-/* Adds the line TEXT of FILE to LINES if it is about the request ID.  Whatever a
-   collector put before the object is passed over.  */
+/* Adds the line TEXT of FILE to LINES if it is about the request ID.  Whatever
+   a collector put before the object is passed over.  */
 static void
 take_line (GPtrArray *lines, const char *file, const char *id,
            const char *text)
 {
   const char *start = strchr (text, '{');
-  json_object *object
-      = start != NULL ? json_tokener_parse (start) : NULL;
+  json_object *object = start != NULL ? json_tokener_parse (start) : NULL;
   g_autofree char *found = member_text (object, "id");
   if (object != NULL && strcmp (found, id) == 0)
     {
@@ -83,8 +82,8 @@
   return strcmp (x->time, y->time);
 }
 
-/* The line that decided: the last loss, or error that a queue answered with, or
-   else the answer itself.  */
+/* The line that decided: the last loss, or error that a queue answered with,
+   or else the answer itself.  */
 static const Line *
 deciding (const GPtrArray *lines)
 {
