--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -13,7 +13,8 @@
 #define FILE_MODE 0644
 #define DROPPED_EVERY GM_LOG_SECOND /* between two lines that count them */
 
-/* Lines share a budget by their class, so that no flood of one hides another. */
+/* Lines share a budget by their class, so that no flood of one hides another.
+ */
 typedef enum
 {
   CLASS_EVENT,   /* what changes what the process believes */
@@ -22,8 +23,8 @@
   CLASSES
 } Class;
 
-/* Bytes a second: a thousand lines of events, and what ten hosts' lines fill of a
-   reader that takes a megabyte.  */
+/* Bytes a second: a thousand lines of events, and what ten hosts' lines fill
+   of a reader that takes a megabyte.  */
 static const gint64 budgets[CLASSES] = { [CLASS_EVENT] = 256 * 1024,
                                          [CLASS_REQUEST] = 16 * 1024,
                                          [CLASS_FAILURE] = 64 * 1024 };
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -309,9 +309,9 @@
 {
   GmTime at = world->now + SN_RETRY;
   gboolean over = s->call.attempts >= SN_ATTEMPTS_MAX;
-  if (kind == GM_READ_ONLY || kind == GM_UNAVAILABLE)
+  if (kind == GM_READ_ONLY || kind == GM_UNAVAILABLE || kind == GM_DRAINING)
     {
-      /* News of another primary would not come here.  */
+      /* News of another primary or holder would not come here.  */
       at = world->now + SN_HOLD_RETRY;
       over = world->cut_off || at >= s->call.arrived + SN_HOLD;
     }
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -379,6 +379,43 @@
   bench_free (&b);
 }
 
+/* What a statement waits for, by what its queue's host answers again and
+   again: news of another primary or another holder take longer than a few
+   tries.  */
+static void
+test_tries (void)
+{
+  static const struct
+  {
+    GmKind kind;
+    gboolean holds; /* as long as SN_HOLD */
+  } rows[] = { { GM_READ_ONLY, TRUE },
+               { GM_UNAVAILABLE, TRUE },
+               { GM_DRAINING, TRUE },
+               { GM_DEADLINE, FALSE } };
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      Bench b = bench_new ("primary");
+      take (&b, SN_WRITE, NULL, NULL);
+      while (b.step.next != SN_ANSWER)
+        {
+          if (b.step.next == SN_SEND)
+            {
+              result (&b, rows[i].kind, FALSE, 0);
+              continue;
+            }
+          b.world.now = b.step.until;
+          sn_step_clear (&b.step);
+          sn_retry (b.session, &b.world, &b.step);
+        }
+      g_assert_cmpint (b.step.kind, ==, rows[i].kind);
+      g_assert_cmpint (b.world.now - START >= SN_HOLD - SN_HOLD_RETRY, ==,
+                       rows[i].holds);
+      g_assert_cmpint (b.world.now - START, <=, SN_HOLD);
+      bench_free (&b);
+    }
+}
+
 /* A chosen database takes no statement before it is known to lead: a choice
    may be given up, and its order carried out late.  */
 static void
@@ -424,6 +461,7 @@
   g_test_add_func ("/session/no-primary", test_no_primary);
   g_test_add_func ("/session/silent-hosts", test_silent_hosts);
   g_test_add_func ("/session/given-back", test_given_back);
+  g_test_add_func ("/session/tries", test_tries);
   g_test_add_func ("/session/unsettled", test_unsettled);
   return g_test_run ();
 }
