--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -1,18 +1,7 @@
-#include "control.h"
-#include "base/mutant.h"
+#include "core.h"
 #include "base/event.h"
 #include <string.h>
 
-/* A host that reads the control state through this one.  */
-typedef struct
-{
-  guint64 link;
-  char *host;
-  guint64 incarnation;
-  guint64 sent;   /* version up to which it was sent the state */
-  guint64 beaten; /* its clock in its last heartbeat */
-} Subscriber;
-
 /* A proposal whose entry is not yet applied.  */
 typedef struct
 {
@@ -21,31 +10,6 @@
   guint64 sequence;
 } Proposal;
 
-struct CoCore
-{
-  char *host;
-  ClCore *log;
-  CsState *state;
-  MbCore *members;
-  FoCore *failover;
-  ToCore *takeover;       /* NULL: failover decides */
-  GPtrArray *subscribers; /* Subscriber * */
-  GHashTable *proposals;  /* index -> Proposal */
-  GQueue sends;           /* CoSend * */
-  guint voters_min;
-  gboolean led;
-  gboolean failed;
-  gboolean stamped; /* a quorum has confirmed this host since it started */
-  GmTime expire_at; /* when the silent are looked for next */
-};
-
-static void
-subscriber_free (Subscriber *subscriber)
-{
-  g_free (subscriber->host);
-  g_free (subscriber);
-}
-
 static void
 proposal_free (Proposal *proposal)
 {
@@ -67,7 +31,7 @@
   core->members = mb_new ();
   core->failover = fo_new ();
   core->subscribers
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)subscriber_free);
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)co_subscriber_free);
   core->proposals = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
                                            (GDestroyNotify)proposal_free);
   g_queue_init (&core->sends);
@@ -155,8 +119,8 @@
          && core->state->version >= cl_commit (core->log);
 }
 
-static void
-queue_send (CoCore *core, guint64 link, const char *to, const WmMessage *m)
+void
+co_queue (CoCore *core, guint64 link, const char *to, const WmMessage *m)
 {
   CoSend *send = g_new0 (CoSend, 1);
   send->link = link;
@@ -176,7 +140,7 @@
                                 .message = (char *)status->message,
                                 .version = version } };
   if (link != 0)
-    queue_send (core, link, NULL, &m);
+    co_queue (core, link, NULL, &m);
 }
 
 static void
@@ -260,81 +224,6 @@
   gm_log (GM_EV_SNAPSHOT, "version %u", (guint)core->state->version);
 }
 
-static void
-send_state (CoCore *core, Subscriber *s)
-{
-  g_autoptr (GBytes) block = cs_encode_for_hosts (core->state);
-  WmMessage m
-      = { .type = WM_TYPE_STATE,
-          .state = { .version = core->state->version, .data = block } };
-  queue_send (core, s->link, NULL, &m);
-  s->sent = core->state->version;
-}
-
-/* ENTRY without what only control hosts need.  */
-static void
-strip (WmMessage *entry)
-{
-  WmMessage command;
-  gsize length;
-  const void *data = g_bytes_get_data (entry->rec_entry.data, &length);
-  if (entry->rec_entry.type != CL_COMMAND
-      || wm_decode (data, length, &command, NULL) != GM_OK)
-    return;
-  if (command.type == WM_TYPE_CMD_CONFIG
-      && g_bytes_get_size (command.cmd_config.source) > 0)
-    {
-      g_bytes_unref (command.cmd_config.source);
-      command.cmd_config.source = NULL;
-      g_bytes_unref (entry->rec_entry.data);
-      entry->rec_entry.data = wm_encode (&command);
-    }
-  wm_clear (&command);
-}
-
-/* The entries of LIST as subscribers get them; their number in COUNT.  */
-static GBytes *
-for_hosts (GBytes *list, guint64 *count)
-{
-  GByteArray *out = g_byte_array_new ();
-  WmMessage entry;
-  gsize at = 0;
-  *count = 0;
-  while (wm_next (list, &at, &entry))
-    {
-      (*count)++;
-      strip (&entry);
-      wm_append (out, &entry);
-      wm_clear (&entry);
-    }
-  return g_byte_array_free_to_bytes (out);
-}
-
-static void
-send_delta (CoCore *core, Subscriber *s)
-{
-  if (s->sent + CO_STATE_BEHIND < core->state->version)
-    send_state (core, s);
-  while (s->sent < core->state->version)
-    {
-      g_autoptr (GBytes) list
-          = cl_entries_from (core->log, s->sent + 1, core->state->version);
-      if (list == NULL)
-        {
-          send_state (core, s);
-          return;
-        }
-      guint64 count;
-      g_autoptr (GBytes) stripped = for_hosts (list, &count);
-      WmMessage m = {
-        .type = WM_TYPE_DELTA,
-        .delta = { .first = s->sent + 1, .count = count, .commands = stripped }
-      };
-      queue_send (core, s->link, NULL, &m);
-      s->sent += m.delta.count;
-    }
-}
-
 /* Their entries may or may not commit under the next leader.  */
 static void
 drop_proposals (CoCore *core)
@@ -381,34 +270,6 @@
   gm_log (GM_EV_DISK_STOPPED, "%s", status.message);
 }
 
-static void
-send_stamp (CoCore *core, GmTime now, const Subscriber *s)
-{
-  GmTime stamp = cl_stamp (core->log, now);
-  const char *leader = cl_leader (core->log);
-  /* The age saturates: a host without a stamp vouches for nothing.  */
-  GmTime age = CLAMP (now - stamp, 0, (GmTime)G_MAXINT32 * GM_MS);
-  WmMessage m
-      = { .type = WM_TYPE_STAMP,
-          .stamp = { .echo = s->beaten,
-                     .age = (guint64)age,
-                     .version = core->state->version,
-                     .leader = (char *)(leader != NULL ? leader : "") } };
-  queue_send (core, s->link, NULL, &m);
-}
-
-/* The first stamp after a start goes to all who wait for it, as the answer to
-   the heartbeat that each sent last.  */
-static void
-send_first_stamps (CoCore *core, GmTime now)
-{
-  if (core->stamped || cl_stamp (core->log, now) <= 0)
-    return;
-  core->stamped = TRUE;
-  for (guint i = 0; i < core->subscribers->len; i++)
-    send_stamp (core, now, g_ptr_array_index (core->subscribers, i));
-}
-
 /* Carries out what the log's last step asks for.  */
 static void
 pump (CoCore *core, GmTime now)
@@ -417,12 +278,10 @@
   watch_failure (core);
   watch_leadership (core, now);
   apply_committed (core);
-  for (guint i = 0; i < core->subscribers->len; i++)
-    send_delta (core, g_ptr_array_index (core->subscribers, i));
-  send_first_stamps (core, now);
+  co_serve_subscribers (core, now);
   while (cl_take_send (core->log, &send))
     {
-      queue_send (core, 0, send.to, &send.message);
+      co_queue (core, 0, send.to, &send.message);
       g_free (send.to);
       wm_clear (&send.message);
     }
@@ -501,37 +360,13 @@
   pump (core, now);
 }
 
-static Subscriber *
-find_subscriber (const CoCore *core, guint64 link)
-{
-  for (guint i = 0; i < core->subscribers->len; i++)
-    {
-      Subscriber *s = g_ptr_array_index (core->subscribers, i);
-      if (s->link == link)
-        return s;
-    }
-  return NULL;
-}
-
-static Subscriber *
-add_subscriber (CoCore *core, guint64 link, const struct wm_subscribe *beat)
-{
-  Subscriber *s = g_new0 (Subscriber, 1);
-  s->link = link;
-  s->host = g_strdup (beat->host);
-  s->incarnation = beat->incarnation;
-  s->sent = GM_MUTANT (GO_BACK) ? 0 : beat->version;
-  g_ptr_array_add (core->subscribers, s);
-  return s;
-}
-
 gboolean
 co_forward (CoCore *core, const WmMessage *m)
 {
   const char *leader = cl_leader (core->log);
   if (core->led || leader == NULL || strcmp (leader, core->host) == 0)
     return FALSE;
-  queue_send (core, 0, leader, m);
+  co_queue (core, 0, leader, m);
   return TRUE;
 }
 
@@ -542,14 +377,7 @@
   const struct wm_subscribe *beat = &m->subscribe;
   /* A heartbeat that another control host forwarded is no subscription.  */
   if (strcmp (from, beat->host) == 0)
-    {
-      Subscriber *s = find_subscriber (core, link);
-      if (s == NULL)
-        s = add_subscriber (core, link, beat);
-      s->beaten = beat->sent;
-      send_delta (core, s);
-      send_stamp (core, now, s);
-    }
+    co_subscribed (core, now, link, beat);
   if (core->led)
     mb_host (core->members, now, core->state, beat);
   else
@@ -677,14 +505,14 @@
     {
       const Subscriber *s = g_ptr_array_index (core->subscribers, i);
       if (strcmp (s->host, host) == 0)
-        queue_send (core, s->link, NULL, m);
+        co_queue (core, s->link, NULL, m);
     }
 }
 
 void
 co_link_down (CoCore *core, GmTime now, guint64 link)
 {
-  Subscriber *s = find_subscriber (core, link);
+  Subscriber *s = co_find_subscriber (core, link);
   if (s != NULL)
     {
       WmMessage m = { .type = WM_TYPE_CMD_HOST_DOWN,
