--- a/lib/control/core.h
+++ b/lib/control/core.h
@@ -1,6 +1,6 @@
 /* What the parts of control share; private to lib/control.
 
-   control.c: the log's commands, proposals, leadership.  subscribers.c: the hosts
+   control.c: the log's commands, proposals, leadership.  feed.c: the hosts
    that read the control state through this one.  */
 #pragma once
 #include "control.h"
@@ -33,12 +33,11 @@
   GmTime expire_at; /* when the silent are looked for next */
 };
 
-
 /* control.c  */
 /* Queues M for the link LINK, or with 0 for the control host TO.  */
 void co_queue (CoCore *core, guint64 link, const char *to, const WmMessage *m);
 
-/* subscribers.c  */
+/* feed.c  */
 void co_subscriber_free (Subscriber *subscriber);
 /* The subscriber on LINK, or NULL.  */
 Subscriber *co_find_subscriber (const CoCore *core, guint64 link);
