A forwarded heartbeat is no subscription: it crashed a control host, and was fed twice

Cause: a control host forwards its own daemon's heartbeat to the leader, which took it for a subscription of that host, since sender and host are the same. Over a link that the leader had dialed itself there is no number to answer to, and the answer went to nobody. Change: a forwarded heartbeat says so; only an accepted link can subscribe.

--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -375,13 +375,16 @@
                 const WmMessage *m)
 {
   const struct wm_subscribe *beat = &m->subscribe;
-  /* A heartbeat that another control host forwarded is no subscription.  */
-  if (strcmp (from, beat->host) == 0)
+  if (link != 0 && beat->forwarded == 0 && strcmp (from, beat->host) == 0)
     co_subscribed (core, now, link, beat);
   if (core->led)
-    mb_host (core->members, now, core->state, beat);
-  else
-    co_forward (core, m);
+    {
+      mb_host (core->members, now, core->state, beat);
+      return;
+    }
+  WmMessage forward = *m;
+  forward.subscribe.forwarded = 1;
+  co_forward (core, &forward);
 }
 
 static void
--- a/lib/control/control.h
+++ b/lib/control/control.h
@@ -57,7 +57,8 @@
 /* Whether STATE as this host holds it was the newest at or after SINCE.  */
 gboolean co_is_current (CoCore *core, GmTime now, GmTime since);
 
-/* Takes a message that came on the accepted LINK from the host FROM.  */
+/* Takes a message that came on the accepted LINK from the host FROM, or with 0
+   on the link dialed to that control host.  */
 void co_receive (CoCore *core, GmTime now, guint64 link, const char *from,
                  const WmMessage *m);
 /* Takes an answer that came back on the link dialed to another control
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -42,10 +42,11 @@
 #define WM_JOIN(U, S, B) \
   S (from) S (disk) S (address) U (forwarded)
 
-/* Subscriptions to the control state.  */
+/* Subscriptions to the control state.  A heartbeat that a control host forwarded to
+   the leader is no subscription there.  */
 #define WM_SUBSCRIBE(U, S, B) \
   S (host) U (incarnation) U (version) U (config) U (sent) U (draining) \
-  S (caller) S (link) S (data_centre) U (roles)
+  S (caller) S (link) S (data_centre) U (roles) U (forwarded)
 #define WM_DELTA(U, S, B) \
   U (first) U (count) B (commands)
 #define WM_STATE(U, S, B) \
