--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -1,4 +1,5 @@
 #include "peers.h"
+#include "base/histogram.h"
 #include "pool/pool.h"
 #include <string.h>
 
@@ -20,6 +21,7 @@
   char *service;
   WmMessage message; /* until it is sent */
   GmTime until;
+  GmTime sent_at;
   PeersAnswer answer; /* NULL: forgotten */
   gpointer data;
 } Request;
@@ -162,6 +164,7 @@
   if (!request->sent)
     return;
   wm_clear (&request->message);
+  request->sent_at = daemon_now (p->daemon);
   if (!request->awaited)
     return;
   peer->due++;
@@ -222,6 +225,8 @@
       gm_count (GM_M_answers_late_total, 1);
       return;
     }
+  hg_observe (HG_peer_seconds, peer->host,
+              daemon_now (p->daemon) - request->sent_at);
   PeersAnswer answer = request->answer;
   gpointer data = request->data;
   if (answer == NULL)
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -1,4 +1,5 @@
 #include "pools.h"
+#include "base/histogram.h"
 #include "failover/takeover.h"
 #include "pool/pool.h"
 #include "subscription.h"
@@ -22,6 +23,7 @@
   Pool *pool;
   guint64 number;
   DbConn *conn;
+  GmTime opened;
   /* Arguments of the running exchange.  */
   PlAction action;
   DbExchange exchange;
@@ -99,6 +101,7 @@
   (void)conn;
   Conn *c = owner;
   gm_count (GM_M_connections_opened_total, 1);
+  hg_observe (HG_connect_seconds, c->pool->id, now_of (c->pool) - c->opened);
   pl_connected (c->pool->core, now_of (c->pool), c->number);
   pump (c->pool);
 }
@@ -143,6 +146,7 @@
                       .id = pool->id };
   c->pool = pool;
   c->number = number;
+  c->opened = now_of (pool);
   g_hash_table_insert (pool->conns, &c->number, c);
   c->conn = pool->pools->open (&target, &conn_handler, c);
 }
@@ -206,6 +210,13 @@
       = daemon_link (pool->pools->daemon, GPOINTER_TO_SIZE (r->owner));
   WmMessage m;
   trace_answer (pool, r);
+  if (r->base.started != 0)
+    {
+      hg_observe (HG_queue_seconds, pool->id,
+                  r->base.started - r->base.arrived);
+      hg_observe (HG_database_seconds, pool->id,
+                  now_of (pool) - r->base.started);
+    }
   pl_request_done (pool->core, r, now_of (pool),
                    pool->pools->daemon->identity.incarnation, &m);
   if (r->transaction != 0 && !r->open)
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -1,4 +1,5 @@
 #include "event.h"
+#include "histogram.h"
 #include <log4c.h>
 
 static const struct
@@ -83,4 +84,5 @@
                               name, metrics[i].help, name,
                               counter ? "counter" : "gauge", name, values[i]);
     }
+  hg_print (out);
 }
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -138,5 +138,5 @@
 void gm_gauge (GmMetric metric, guint64 value);
 /* Reads a counter or gauge.  */
 guint64 gm_metric (GmMetric metric);
-/* Appends all counters to OUT in the Prometheus text form.  */
+/* Appends all counters and histograms to OUT in the Prometheus text form.  */
 void gm_metrics_print (GString *out);
--- a/lib/clog/filestore.c
+++ b/lib/clog/filestore.c
@@ -1,4 +1,5 @@
 #include "filestore.h"
+#include "base/histogram.h"
 #include <errno.h>
 #include <fcntl.h>
 #include <gio/gio.h>
@@ -322,9 +323,11 @@
       WmMessage record = cl_entry_message (entries[i]);
       put_record (data, &record);
     }
+  gint64 begun = g_get_monotonic_time ();
   if (lseek (s->log, s->end, SEEK_SET) < 0
       || !write_all (s->log, data->data, data->len) || fdatasync (s->log) != 0)
     return io_fault (status, "append to", "log");
+  hg_observe (HG_sync_seconds, "log", g_get_monotonic_time () - begun);
   s->end += data->len;
   return gm_ok (status);
 }
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -6,8 +6,8 @@
 
 #define START (100 * GM_SECOND)
 
-/* A heartbeat of HOST that comes from FROM on LINK; how many messages go back to
-   that link, and that nothing goes nowhere.  */
+/* A heartbeat of HOST that comes from FROM on LINK; how many messages go back
+   to that link, and that nothing goes nowhere.  */
 static const struct
 {
   guint64 link; /* 0: on a link that this host dialed */
@@ -67,8 +67,8 @@
                        heartbeats[i].answered);
       /* Either way the host is heard.  */
       co_tick (core, START + 200 * GM_MS, 0);
-      g_assert_nonnull (g_hash_table_lookup (co_state (core)->hosts,
-                                             heartbeats[i].host));
+      g_assert_nonnull (
+          g_hash_table_lookup (co_state (core)->hosts, heartbeats[i].host));
       co_free (core);
       store->class->free (store);
     }
