--- a/lib/base/histogram.h
+++ b/lib/base/histogram.h
@@ -1,7 +1,7 @@
 /* Histograms of times, in the Prometheus text form.
 
-   One closed list; each is kept by a label, such as a database's id, of which a
-   process has few.  Not thread-safe, as the counters.  */
+   One closed list; each is kept by a label, such as a database's id, of which
+   a process has few.  Not thread-safe, as the counters.  */
 #pragma once
 #include <glib.h>
 
@@ -12,8 +12,9 @@
   X (queue_seconds, "database", "what statements waited for a slot")          \
   X (database_seconds, "database", "what statements took at a database")      \
   X (connect_seconds, "database", "what new connections took")                \
-  X (peer_seconds, "host", "from a statement's sending to another host's "    \
-                           "answer")                                          \
+  X (peer_seconds, "host",                                                    \
+     "from a statement's sending to another host's "                          \
+     "answer")                                                                \
   X (sync_seconds, "file", "what the control log's syncs took")
 
 typedef enum
--- a/tests/test_histogram.c
+++ b/tests/test_histogram.c
@@ -7,9 +7,11 @@
   gint64 microseconds;
   const char *first; /* bound of the first bucket that counts it */
 } times[] = {
-  { -5, "0.001" },      { 0, "0.001" },     { 1000, "0.001" },
-  { 1001, "0.002" },    { 64000, "0.064" }, { 64001, "0.128" },
-  { 8192000, "8.192" }, { 8192001, "+Inf" },
+  { -5, "0.001" }, /* a clock that went back */
+  { 0, "0.001" },      { 1000, "0.001" },
+  { 1001, "0.002" },   { 64000, "0.064" },
+  { 64001, "0.128" },  { 8192000, "8.192" }, /* the last bound */
+  { 8192001, "+Inf" },
 };
 
 static void
