Hosts tell what they send and receive, and statements what they spent between hosts

What a statement took at a database contains the link to it, so that a full link and busy slots looked alike; no figure said how full a link is.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -8,6 +8,7 @@
 #include "pools.h"
 #include "reload.h"
 #include "subscription.h"
+#include "traffic.h"
 #include <argtable2.h>
 #include <glib-unix.h>
 #include <stdio.h>
@@ -56,6 +57,7 @@
         return FALSE;
     }
   subscription_new (daemon);
+  traffic_new (daemon);
   if (settings->platform != NULL)
     {
       *platform = platform_start (daemon, control, status);
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -225,8 +225,10 @@
       gm_count (GM_M_answers_late_total, 1);
       return;
     }
-  hg_observe (HG_peer_seconds, peer->host,
-              daemon_now (p->daemon) - request->sent_at);
+  GmTime took = daemon_now (p->daemon) - request->sent_at;
+  GmTime held = (GmTime)MIN (m->statement_done.held, G_MAXINT32);
+  hg_observe (HG_peer_seconds, peer->host, took);
+  hg_observe (HG_way_seconds, peer->host, took - held);
   PeersAnswer answer = request->answer;
   gpointer data = request->data;
   if (answer == NULL)
--- /dev/null
+++ b/daemon/traffic.c
@@ -0,0 +1,47 @@
+#include "traffic.h"
+
+#define SPAN_MS 2000 /* between two lines: short against a flood of seconds   \
+                      */
+
+typedef struct
+{
+  DaemonTask task;
+  guint64 received; /* bytes, when last told */
+  guint64 sent;
+  guint timer;
+} Traffic;
+
+static gboolean
+tell (gpointer data)
+{
+  Traffic *t = data;
+  guint64 received = gm_metric (GM_M_bytes_in_total);
+  guint64 sent = gm_metric (GM_M_bytes_out_total);
+  gm_log (GM_EV_TRAFFIC,
+          "received %" G_GUINT64_FORMAT " B/s, sent %" G_GUINT64_FORMAT
+          " B/s, %" G_GUINT64_FORMAT " B unsent",
+          (received - t->received) * 1000 / SPAN_MS,
+          (sent - t->sent) * 1000 / SPAN_MS, gm_metric (GM_M_bytes_unsent));
+  t->received = received;
+  t->sent = sent;
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+traffic_free (DaemonTask *task)
+{
+  Traffic *t = (Traffic *)task;
+  g_source_remove (t->timer);
+  g_free (t);
+}
+
+static const DaemonTaskClass traffic_class = { .free = traffic_free };
+
+void
+traffic_new (Daemon *daemon)
+{
+  Traffic *t = g_new0 (Traffic, 1);
+  t->task.class = &traffic_class;
+  t->timer = g_timeout_add (SPAN_MS, tell, t);
+  daemon_add (daemon, &t->task);
+}
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -24,6 +24,7 @@
   X (LINK_GARBAGE, 202, WARN, "a link was closed for a bad frame")            \
   X (LINK_REFUSED, 203, WARN, "a link was refused: wrong key or version")     \
   X (HOST_SILENT, 204, WARN, "a host with pools does not answer")             \
+  X (TRAFFIC, 205, INFO, "what this process sent and received of late")       \
   X (LEADER, 300, NOTICE, "this control host became leader")                  \
   X (NOT_LEADER, 301, NOTICE, "this control host is leader no longer")        \
   X (DISK_STOPPED, 302, ERROR, "the control log stopped: disk fault")         \
@@ -76,6 +77,9 @@
   X (writes_total, "writes acknowledged")                                     \
   X (frames_in_total, "frames received on links")                             \
   X (frames_out_total, "frames sent on links")                                \
+  X (bytes_in_total, "bytes received on all connections")                     \
+  X (bytes_out_total, "bytes sent on all connections")                        \
+  X (bytes_unsent, "bytes that wait until their connections take them")       \
   X (frames_bad_total, "frames refused on links")                             \
   X (answers_late_total, "answers dropped because their request had ended")   \
   X (tokens_forged_total, "session tokens that failed their check")           \
--- a/lib/base/histogram.h
+++ b/lib/base/histogram.h
@@ -15,6 +15,8 @@
   X (peer_seconds, "host",                                                    \
      "from a statement's sending to another host's "                          \
      "answer")                                                                \
+  X (way_seconds, "host",                                                     \
+     "of that, what neither its queue nor its database took")                 \
   X (sync_seconds, "file", "what the control log's syncs took")
 
 typedef enum
--- a/lib/pool/request.c
+++ b/lib/pool/request.c
@@ -91,5 +91,6 @@
     .wait = (guint64)pl_wait (core, r->base.rank, r->base.service),
     .signature = r->signature,
     .rows = r->rows,
+    .held = r->base.arrived != 0 ? (guint64)(now - r->base.arrived) : 0,
   };
 }
--- a/lib/session/core.h
+++ b/lib/session/core.h
@@ -23,6 +23,7 @@
   GmTime deadline;
   guint attempts;
   GmTime sent_at;
+  GmTime way; /* spent between hosts, by all tries that were answered */
   TkPoint after;
   GmTime after_at; /* when the position was the group's newest */
   DpBegin begins;
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -143,6 +143,7 @@
       step->id = g_steal_pointer (&s->call.statement.id);
       step->arrived = s->call.arrived;
       step->attempts = s->call.attempts;
+      step->way = s->call.way;
     }
   step->kind = kind;
   g_strlcpy (step->message, message, sizeof step->message);
@@ -536,6 +537,8 @@
 {
   memset (step, 0, sizeof *step);
   GmKind kind = done->kind < GM_KIND_COUNT ? (GmKind)done->kind : GM_INTERNAL;
+  GmTime held = (GmTime)MIN (done->held, G_MAXINT32);
+  s->call.way += MAX (world->now - s->call.sent_at - held, 0);
   learn (s, world, done);
   if (may_try_again (s, kind))
     {
--- a/lib/session/session.h
+++ b/lib/session/session.h
@@ -76,6 +76,7 @@
   char *id;        /* of the statement that is answered; NULL: it has none */
   GmTime arrived;  /* 0: it was answered at once */
   guint attempts;  /* at databases */
+  GmTime way;      /* of the time, what was spent between hosts */
   char *signature; /* NULL: answered without a database */
   GBytes *rows;
 
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -112,11 +112,12 @@
 /* point is the position after the statement.  lead is the newest position of
    which the pool knows that it held every write acknowledged age microseconds
    ago.  wait is the time that a further statement would wait.  open says
-   whether the transaction goes on.  */
+   whether the transaction goes on.  held is how long the pool had the
+   statement, in microseconds.  */
 #define WM_STATEMENT_DONE(U, S, B) \
   U (sequence) U (kind) S (message) U (retry_ms) U (holder) U (transaction) \
   U (open) U (point_term) U (point_number) U (lead_term) U (lead_number) \
-  U (lead_age) U (wait) S (signature) B (rows)
+  U (lead_age) U (wait) S (signature) B (rows) U (held)
 
 /* Commands of the control log.  groups lists the names of the groups that the
    text declares, so that it need not be read where it is overtaken at once; its
--- a/lib/wire/stream.c
+++ b/lib/wire/stream.c
@@ -1,4 +1,5 @@
 #include "stream.h"
+#include "base/event.h"
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -40,6 +41,14 @@
   *source = NULL;
 }
 
+/* Adds CHANGE, which may be negative, to what waits on all connections.  */
+static void
+count_unsent (gssize change)
+{
+  gm_gauge (GM_M_bytes_unsent,
+            gm_metric (GM_M_bytes_unsent) + (guint64)change);
+}
+
 void
 ns_close (NsStream *stream)
 {
@@ -51,6 +60,7 @@
   if (stream->socket != NULL)
     g_socket_close (stream->socket, NULL);
   g_clear_object (&stream->socket);
+  count_unsent (-(gssize)stream->waiting->len);
   g_byte_array_unref (stream->waiting);
   g_free (stream->failure);
   g_free (stream);
@@ -84,6 +94,7 @@
     return G_SOURCE_CONTINUE;
   if (got > 0)
     {
+      gm_count (GM_M_bytes_in_total, (guint64)got);
       if (!stream->finishing)
         stream->handler->data (stream, buffer, (gsize)got, stream->owner);
       return G_SOURCE_CONTINUE;
@@ -115,6 +126,8 @@
         return TRUE;
       if (sent <= 0)
         return FALSE;
+      gm_count (GM_M_bytes_out_total, (guint64)sent);
+      count_unsent (-sent);
       g_byte_array_remove_range (stream->waiting, 0, (guint)sent);
     }
   return TRUE;
@@ -172,6 +185,7 @@
     return;
   gboolean idle = stream->waiting->len == 0 && !stream->connecting;
   g_byte_array_append (stream->waiting, data, (guint)length);
+  count_unsent ((gssize)length);
   if (idle)
     flush (stream);
   if (stream->waiting->len > 0)
