A database's queue is held in shares, as many as the hosts' links need

Cause: one host held all of a database's queue, and all of its statements and rows crossed that host's link, 1.4 Mbit/s each way, twice. Ruled out: slots (the same load passes on ample links), connections, processor time. Change: hosts announce their link's rate; a queue has as many shares as half of that rate needs, at most one a slot; slots and connections are divided; routers keep the wait of each share. Where links are ample nothing changes.

--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -293,23 +293,45 @@
          && strcmp (address, database->address) == 0;
 }
 
+/* Which share of the queue of the database ID this host holds, or -1.  */
+static gint
+own_share (const Pools *p, const CsState *state, const char *id, guint *shares)
+{
+  return cs_share (state, id, p->daemon->settings->host, shares);
+}
+
+static gboolean
+is_mine (const Pools *p, const CsState *state, const char *id)
+{
+  guint shares;
+  return own_share (p, state, id, &shares) >= 0;
+}
+
 static void
 update_pool (Pools *p, Pool *pool, const CsState *state,
-             const CsDatabase *database, gboolean mine)
+             const CsDatabase *database)
 {
   const CfGroup *group
       = cf_group_find (cs_declaration (state), database->group);
   guint64 connections = group != NULL && group->connections > 0
                             ? (guint64)group->connections
                             : database->connections;
+  guint64 slots = database->slots;
   GmTime now = daemon_now (p->daemon);
+  guint shares;
+  gint share = own_share (p, state, database->id, &shares);
+  gboolean mine = share >= 0;
   if (mine)
-    pool->stood_in = 0;
+    {
+      pool->stood_in = 0;
+      slots = pl_part (slots, (guint)share, shares);
+      connections = pl_part (connections, (guint)share, shares);
+    }
   else if (pool->stood_in != 0)
     connections = STAND_IN_CONNECTIONS;
   pl_set_floors (pool->core, cs_declaration (state)->floor);
   pl_own (pool->core, now, mine || stands_in (pool));
-  pl_limits (pool->core, now, (guint)database->slots, (guint)connections,
+  pl_limits (pool->core, now, (guint)slots, (guint)connections,
              cs_declaration (state)->transaction_idle_ms * GM_MS);
   pump (pool);
 }
@@ -331,11 +353,8 @@
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
       Pool *pool = value;
-      const CsHost *host = cs_pool (state, key);
-      gboolean mine = host != NULL
-                      && strcmp (host->host, p->daemon->settings->host) == 0;
       if (is_same (pool, g_hash_table_lookup (state->databases, key))
-          && (mine || stands_in (pool) || !is_empty (pool)))
+          && (is_mine (p, state, key) || stands_in (pool) || !is_empty (pool)))
         continue;
       gm_log (GM_EV_OWNER, "the queue of %s: given up", pool->id);
       pl_drop_connections (pool->core, now_of (pool));
@@ -358,14 +377,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const CsDatabase *database = value;
-      const CsHost *host = cs_pool (state, database->id);
       Pool *pool = g_hash_table_lookup (p->pools, database->id);
-      gboolean mine = host != NULL
-                      && strcmp (host->host, p->daemon->settings->host) == 0;
-      if (pool == NULL && mine)
+      if (pool == NULL && is_mine (p, state, database->id))
         pool = pool_new (p, database);
       if (pool != NULL)
-        update_pool (p, pool, state, database, mine);
+        update_pool (p, pool, state, database);
     }
 }
 
@@ -483,15 +499,12 @@
     pool = pool_new (p, database);
   if (pool == NULL)
     return NULL;
-  const CsHost *holder = cs_pool (state, database->id);
-  gboolean mine = holder != NULL
-                  && strcmp (holder->host, p->daemon->settings->host) == 0;
-  if (mine)
+  if (is_mine (p, state, database->id))
     return pool;
   gboolean begins = !stands_in (pool);
   pool->stood_in = now_of (pool);
   if (begins)
-    update_pool (p, pool, state, database, FALSE);
+    update_pool (p, pool, state, database);
   return pool;
 }
 
--- a/daemon/subscription.c
+++ b/daemon/subscription.c
@@ -206,7 +206,8 @@
                          .caller = caller,
                          .link = link,
                          .data_centre = settings->data_centre,
-                         .roles = roles } };
+                         .roles = roles,
+                         .link_rate = (guint64)(settings->link_mbps * 1e6) } };
   subscription_send (s, &m);
 }
 
--- a/lib/base/mutant.h
+++ b/lib/base/mutant.h
@@ -39,6 +39,7 @@
   X (UNSEAL_EARLY, "replicas hear the old primary before the new one leads")  \
   X (UNSETTLED_SERVES, "a database is written to before it is known to lead") \
   X (STAY_OUT, "a voter that was removed while cut off stays away")           \
+  X (QUEUE_ON_ONE_HOST, "a queue is held by one host, whatever its link")     \
   X (OLD_SAMPLE, "a read's position may be older than its age bound")
 
 typedef enum
--- a/lib/conf/settings.c
+++ b/lib/conf/settings.c
@@ -118,6 +118,8 @@
     NULL },
   { "control_lease_ms", JS_INTEGER, AT (CfSettings, control_lease_ms), FALSE,
     0, 600000, NULL },
+  { "link_mbps", JS_NUMBER, AT (CfSettings, link_mbps), FALSE, 0, 1000000,
+    NULL },
 };
 
 static const JsField tls_fields[] = {
--- a/lib/conf/settings.h
+++ b/lib/conf/settings.h
@@ -51,6 +51,7 @@
   gint64 idle_ms; /* for callers' connections without traffic */
   gint64 drain_ms;
   gint64 control_lease_ms; /* 0: serve on without control */
+  double link_mbps; /* what the host's link carries each way; 0: ample */
 } CfSettings;
 
 /* Reads and checks the file PATH; NULL and STATUS on a fault.  Free the
--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -289,6 +289,7 @@
   host->link = g_strdup (c->link);
   host->data_centre = g_strdup (c->data_centre);
   host->roles = c->roles;
+  host->link_rate = c->link_rate;
   g_hash_table_replace (state->hosts, host->host, host);
   forget_owners (state);
   return gm_ok (outcome);
@@ -477,7 +478,8 @@
                                     .caller = h->caller,
                                     .link = h->link,
                                     .data_centre = h->data_centre,
-                                    .roles = h->roles } };
+                                    .roles = h->roles,
+                                    .link_rate = h->link_rate } };
       wm_append (out, &m);
     }
 }
--- a/lib/cstate/cstate.h
+++ b/lib/cstate/cstate.h
@@ -26,6 +26,7 @@
   char *link;
   char *data_centre;
   guint64 roles;
+  guint64 link_rate; /* bits a second each way; 0: ample */
 } CsHost;
 
 typedef struct
@@ -86,7 +87,8 @@
   GArray *history;       /* CsHistory, by number */
   GQueue audit;          /* CsAudit *, oldest first */
   GHashTable *owners;    /* group -> CsHost, found since hosts changed */
-  GHashTable *pools;     /* id of a database -> CsHost, NULL: to be found */
+  GHashTable *pools; /* id of a database -> GPtrArray of CsHost, NULL: to be
+                        found */
 } CsState;
 
 /* An empty state; free it with cs_free.  */
@@ -123,7 +125,15 @@
 /* The host that dispatches for GROUP by rendezvous hashing over the live hosts
    with that role, or NULL.  */
 const CsHost *cs_owner (const CsState *state, const char *group);
-/* The host that holds the queue of the database ID: a host with the pool role
-   in the database's data centre if there is one, by rendezvous hashing with no
-   host holding more than its even share; or NULL.  */
+/* The hosts that hold the queue of the database ID, a share each, CsHost: as
+   many as it takes for their links to carry what its slots serve.  They have
+   the pool role and are in the database's data centre if there is one there,
+   by rendezvous hashing with no host holding more than its even part of all
+   shares.  NULL when there is none.  */
+const GPtrArray *cs_holders (const CsState *state, const char *id);
+/* Which share of the queue of the database ID the host HOST holds, from 0, or
+   -1; stores how many there are in SHARES.  */
+gint cs_share (const CsState *state, const char *id, const char *host,
+               guint *shares);
+/* The holder of the first share, or NULL.  */
 const CsHost *cs_pool (const CsState *state, const char *id);
--- a/lib/failover/members.c
+++ b/lib/failover/members.c
@@ -99,6 +99,7 @@
   guint64 roles = beat->draining != 0 ? 0 : beat->roles;
   gboolean same = known != NULL && known->incarnation == beat->incarnation
                   && known->roles == roles
+                  && known->link_rate == beat->link_rate
                   && strcmp (known->link, beat->link) == 0
                   && strcmp (known->caller, beat->caller) == 0;
   if (same || !may_propose (hearing, now))
@@ -109,7 +110,8 @@
                                       .caller = beat->caller,
                                       .link = beat->link,
                                       .data_centre = beat->data_centre,
-                                      .roles = roles } };
+                                      .roles = roles,
+                                      .link_rate = beat->link_rate } };
   wm_queue_put (&core->commands, &command);
 }
 
--- a/lib/failover/takeover.c
+++ b/lib/failover/takeover.c
@@ -160,16 +160,20 @@
 take_seen (ToCore *core, GmTime now, const CsState *state, const char *host,
            const struct wm_seen *m)
 {
-  const CsHost *holder = cs_pool (state, m->id);
-  if (holder == NULL || strcmp (holder->host, host) != 0)
+  guint shares;
+  gint share = cs_share (state, m->id, host, &shares);
+  if (share < 0)
     return;
   Seen *seen = seen_of (core, m->id);
+  seen->acked_term = MAX (seen->acked_term, m->last_term);
+  /* One holder's view of reach and silence is as good as another's.  */
+  if (share != 0)
+    return;
   seen->reported = now;
   seen->reachable = m->reachable != 0;
   seen->silent = m->silent;
   seen->stuck = m->stuck;
   seen->open = m->open;
-  seen->acked_term = MAX (seen->acked_term, m->last_term);
 }
 
 void
--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -106,6 +106,12 @@
   dq_set_floors (core->queue, floors);
 }
 
+guint64
+pl_part (guint64 whole, guint share, guint shares)
+{
+  return MAX ((whole + shares - 1 - share) / shares, 1);
+}
+
 void
 pl_limits (PlCore *core, GmTime now, guint slots, guint connections,
            GmTime idle)
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -1,9 +1,11 @@
 /* The pool of one database: its queue, its connections, its slots.
 
-   One host at a time holds a database's pool, so that one queue stands before
-   its slots and rank order holds.  The database checks positions itself and
-   acknowledges a commit only once it is replicated; two pools for a moment
-   cost connections and order, never a promise.
+   A database's slots and connections are divided among the hosts that hold a
+   share of its queue: one host, or as many as it takes for their links to
+   carry what the slots serve.  Rank order holds within a share.  The database
+   checks positions itself and acknowledges a commit only once it is
+   replicated; two pools for one share cost connections and order, never a
+   promise.
 
    Sessions share connections: each statement brings what its connection lacks
    of the session's values and prepared statements.  A transaction holds its
@@ -123,6 +125,8 @@
    transaction.  */
 void pl_limits (PlCore *core, GmTime now, guint slots, guint connections,
                 GmTime idle);
+/* The part of WHOLE that falls to SHARE of SHARES, at least 1.  */
+guint64 pl_part (guint64 whole, guint share, guint shares);
 /* Gives the pool up, or takes it: without it, queued and new requests are
    refused, what runs and open transactions end in their own time.  */
 void pl_own (PlCore *core, GmTime now, gboolean owned);
--- a/lib/session/router.c
+++ b/lib/session/router.c
@@ -15,12 +15,18 @@
 #define LAG_RETRY (50 * GM_MS)
 #define LAG_RETRY_MAX (1 * GM_SECOND)
 
+/* What a holder of a share of a database's queue said last.  */
 typedef struct
 {
   GmTime wait;
-  GmTime wait_at;
-  GmTime lacked; /* the position of that time; 0: it has kept up */
-  GmTime retry;  /* between two tries while it lags */
+  GmTime at;
+} Wait;
+
+typedef struct
+{
+  GHashTable *waits; /* host -> Wait */
+  GmTime lacked;     /* the position of that time; 0: it has kept up */
+  GmTime retry;      /* between two tries while it lags */
   GmTime retry_at;
 } Estimate;
 
@@ -44,8 +50,17 @@
   const LvCore *hosts;
   GHashTable *groups;    /* name -> Group */
   GHashTable *estimates; /* id -> Estimate */
+  guint turn;            /* which of equal holders comes first */
 };
 
+static void
+estimate_free (gpointer data)
+{
+  Estimate *estimate = data;
+  g_hash_table_unref (estimate->waits);
+  g_free (estimate);
+}
+
 static void
 group_free (Group *group)
 {
@@ -62,7 +77,7 @@
   router->groups = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)group_free);
   router->estimates
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, estimate_free);
   return router;
 }
 
@@ -117,6 +132,8 @@
   if (estimate == NULL)
     {
       estimate = g_new0 (Estimate, 1);
+      estimate->waits
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
       g_hash_table_insert (router->estimates, g_strdup (id), estimate);
     }
   return estimate;
@@ -137,11 +154,17 @@
 }
 
 void
-sr_note_wait (SrRouter *router, GmTime now, const char *id, GmTime wait)
+sr_note_wait (SrRouter *router, GmTime now, const char *id, const char *host,
+              GmTime wait)
 {
-  Estimate *estimate = estimate_of (router, id);
-  estimate->wait = wait;
-  estimate->wait_at = now;
+  const Estimate *estimate = estimate_of (router, id);
+  Wait *known = g_hash_table_lookup (estimate->waits, host);
+  if (known == NULL)
+    {
+      known = g_new0 (Wait, 1);
+      g_hash_table_insert (estimate->waits, g_strdup (host), known);
+    }
+  *known = (Wait){ wait, now };
 }
 
 void
@@ -204,11 +227,44 @@
   return lv_is_silent (router->hosts, host);
 }
 
-gboolean
-sr_can_reach (const SrRouter *router, const CsState *state, const char *id)
+static GmTime
+wait_at (const Estimate *estimate, GmTime now, const CsHost *host)
+{
+  const Wait *known = estimate != NULL
+                          ? g_hash_table_lookup (estimate->waits, host->host)
+                          : NULL;
+  return known != NULL ? MAX (known->wait - (now - known->at), 0) : 0;
+}
+
+static const CsHost *
+best_holder (const SrRouter *router, const CsState *state, GmTime now,
+             const char *id)
+{
+  const GPtrArray *holders = cs_holders (state, id);
+  const Estimate *estimate = g_hash_table_lookup (router->estimates, id);
+  const CsHost *best = NULL;
+  GmTime best_wait = G_MAXINT64;
+  for (guint i = 0; holders != NULL && i < holders->len; i++)
+    {
+      const CsHost *host
+          = g_ptr_array_index (holders, (router->turn + i) % holders->len);
+      if (lv_is_silent (router->hosts, host->host))
+        continue;
+      GmTime wait = wait_at (estimate, now, host);
+      if (wait < best_wait)
+        {
+          best = host;
+          best_wait = wait;
+        }
+    }
+  return best;
+}
+
+const CsHost *
+sr_holder (SrRouter *router, const CsState *state, GmTime now, const char *id)
 {
-  const CsHost *host = cs_pool (state, id);
-  return host != NULL && !lv_is_silent (router->hosts, host->host);
+  router->turn++;
+  return best_holder (router, state, now, id);
 }
 
 const CsDatabase *
@@ -224,13 +280,11 @@
 
 static GmTime
 expected_time (const SrRouter *router, GmTime now, const CsDatabase *database,
-               gboolean primary)
+               const CsHost *holder, gboolean primary)
 {
   const Estimate *estimate
       = g_hash_table_lookup (router->estimates, database->id);
-  GmTime wait = 0;
-  if (estimate != NULL)
-    wait = MAX (estimate->wait - (now - estimate->wait_at), 0);
+  GmTime wait = holder != NULL ? wait_at (estimate, now, holder) : 0;
   gboolean near = strcmp (database->data_centre, router->data_centre) == 0;
   return wait + (near ? TRIP_NEAR : TRIP_FAR) + (primary ? PRIMARY_COST : 0);
 }
@@ -249,12 +303,12 @@
       const char *id = g_ptr_array_index (group->databases, i);
       const CsDatabase *d = g_hash_table_lookup (state->databases, id);
       const Estimate *estimate = g_hash_table_lookup (router->estimates, id);
+      const CsHost *holder = best_holder (router, state, now, id);
       if (d == NULL || g_strcmp0 (id, except) == 0
-          || (d->leaving && d != primary)
-          || (!out_of_reach && !sr_can_reach (router, state, id))
+          || (d->leaving && d != primary) || (!out_of_reach && holder == NULL)
           || (d != primary && !has_probably (estimate, now, at)))
         continue;
-      GmTime time = expected_time (router, now, d, d == primary);
+      GmTime time = expected_time (router, now, d, holder, d == primary);
       if (time < best_time)
         {
           best = d;
--- a/lib/session/router.h
+++ b/lib/session/router.h
@@ -1,11 +1,11 @@
 /* Which database a statement goes to, as one entry host sees it.
 
-   The router keeps, from answers alone, how long each database's queue is and
-   how far each replica lags, and for each group the positions that its primary
-   had while it was proved to lead.  Such a position, taken at a time, holds
-   every write that was acknowledged before then: a read may run at any
-   database that has it.  The database checks; a wrong guess here costs a trip,
-   never a stale answer.
+   The router keeps, from answers alone, how long each share of a database's
+   queue is and how far each replica lags, and for each group the positions
+   that its primary had while it was proved to lead.  Such a position, taken at
+   a time, holds every write that was acknowledged before then: a read may run
+   at any database that has it.  The database checks; a wrong guess here costs
+   a trip, never a stale answer.
 
    Pure: no clock, no sockets.  */
 #pragma once
@@ -30,8 +30,10 @@
 /* A primary of GROUP had POINT when it was proved to lead, not before AT.  */
 void sr_note_lead (SrRouter *router, const char *group, TkPoint point,
                    GmTime at);
-/* The database ID would let a further statement wait for WAIT.  */
-void sr_note_wait (SrRouter *router, GmTime now, const char *id, GmTime wait);
+/* HOST would let a further statement wait for WAIT in its share of the queue
+   of the database ID.  */
+void sr_note_wait (SrRouter *router, GmTime now, const char *id,
+                   const char *host, GmTime wait);
 /* The replica ID answered a read that needed a position which the group's
    primary had AT a time: it has it, or LACKS it.  */
 void sr_note_lag (SrRouter *router, GmTime now, const char *id, gboolean lacks,
@@ -43,9 +45,11 @@
                    TkPoint *point, GmTime *at);
 /* When the newest position of GROUP was taken; 0: none is known.  */
 GmTime sr_newest (const SrRouter *router, const char *group);
-/* Whether the host that holds the queue of the database ID can be sent to.  */
-gboolean sr_can_reach (const SrRouter *router, const CsState *state,
-                       const char *id);
+/* The host to send a statement for the database ID to: of those that hold a
+   share of its queue and can be sent to, the one expected to serve it first;
+   or NULL.  */
+const CsHost *sr_holder (SrRouter *router, const CsState *state, GmTime now,
+                         const char *id);
 /* Whether HOST has fallen silent.  */
 gboolean sr_is_silent (const SrRouter *router, const char *host);
 /* The primary of GROUP, or NULL when none is known to lead.  */
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -355,16 +355,16 @@
       s->own = (TkPoint){ 0, 0 };
     }
   const CsDatabase *database = choose (s, world, service);
-  const CsHost *host
-      = database != NULL ? cs_pool (world->state, database->id) : NULL;
-  if (host == NULL)
+  if (database == NULL || cs_holders (world->state, database->id) == NULL)
     {
       s->call.attempts++;
       later (s, world, step, GM_UNAVAILABLE,
              "not run: no database is there to serve it");
       return;
     }
-  if (sr_can_reach (world->router, world->state, database->id))
+  const CsHost *host
+      = sr_holder (world->router, world->state, world->now, database->id);
+  if (host != NULL)
     send (s, world, host->host, host->link, database->id,
           database->incarnation, FALSE, step);
   else if (world->cut_off && world->host != NULL)
@@ -450,7 +450,7 @@
     sr_note_lead (world->router, s->group,
                   (TkPoint){ done->lead_term, done->lead_number },
                   call->sent_at - (GmTime)MIN (done->lead_age, G_MAXINT32));
-  sr_note_wait (world->router, now, call->database,
+  sr_note_wait (world->router, now, call->database, call->host,
                 (GmTime)MIN (done->wait, G_MAXINT32));
   if (call->after.position > 0
       && (done->kind == GM_OK || done->kind == GM_LAGGING))
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -46,7 +46,7 @@
    the leader is no subscription there.  */
 #define WM_SUBSCRIBE(U, S, B) \
   S (host) U (incarnation) U (version) U (config) U (sent) U (draining) \
-  S (caller) S (link) S (data_centre) U (roles) U (forwarded)
+  S (caller) S (link) S (data_centre) U (roles) U (forwarded) U (link_rate)
 #define WM_DELTA(U, S, B) \
   U (first) U (count) B (commands)
 #define WM_STATE(U, S, B) \
@@ -119,7 +119,8 @@
   U (open) U (point_term) U (point_number) U (lead_term) U (lead_number) \
   U (lead_age) U (wait) S (signature) B (rows) U (held)
 
-/* Commands of the control log.  groups lists the names of the groups that the
+/* Commands of the control log.  link_rate is what a host's link carries each
+   way, in bits a second; 0: ample.  groups lists the names of the groups that the
    text declares, so that it need not be read where it is overtaken at once; its
    proposer has checked it.  Empty: the text is read as the command is applied.
    */
@@ -127,7 +128,8 @@
   U (number) S (digest) B (text) S (who) U (when) U (highest) B (source) \
   B (groups)
 #define WM_CMD_HOST(U, S, B) \
-  S (host) U (incarnation) S (caller) S (link) S (data_centre) U (roles)
+  S (host) U (incarnation) S (caller) S (link) S (data_centre) U (roles) \
+  U (link_rate)
 #define WM_CMD_HOST_DOWN(U, S, B) \
   S (host) U (incarnation)
 #define WM_CMD_DATABASE(U, S, B) \
--- a/tests/fuzz/session_control.c
+++ b/tests/fuzz/session_control.c
@@ -28,8 +28,9 @@
   static const DpPolicy policy = { .order = DQ_FLOORS, .admission = TRUE };
   const CsDatabase *d
       = g_hash_table_lookup (host->state->databases, pool->database->id);
-  const CsHost *holder = cs_pool (host->state, pool->database->id);
-  gboolean mine = holder != NULL && strcmp (holder->host, host->name) == 0;
+  guint shares;
+  gint share = cs_share (host->state, pool->database->id, host->name, &shares);
+  gboolean mine = share >= 0;
   if (pool->core != NULL
       && (d == NULL || d->incarnation != pool->incarnation
           || (!mine && pool_is_empty (pool))))
@@ -42,8 +43,11 @@
     }
   if (pool->core == NULL)
     return;
+  guint part = mine ? (guint)share : 0;
+  shares = MAX (shares, 1);
   pl_own (pool->core, w->now, mine);
-  pl_limits (pool->core, w->now, 2, 20, 300 * GM_MS);
+  pl_limits (pool->core, w->now, (guint)pl_part (2, part, shares),
+             (guint)pl_part (20, part, shares), 300 * GM_MS);
   sw_pump_pool (w, pool);
 }
 
@@ -118,7 +122,8 @@
                                 .caller = (char *)"",
                                 .link = (char *)"127.0.0.1:2",
                                 .data_centre = (char *)"dc0",
-                                .roles = pool ? CS_POOL : 0 } };
+                                .roles = pool ? CS_POOL : 0,
+                                .link_rate = w->link_rate } };
   sw_commit (w, &m);
 }
 
--- a/tests/fuzz/sessions.c
+++ b/tests/fuzz/sessions.c
@@ -76,6 +76,8 @@
   static const char *const services[] = { "primary", "session", "bounded" };
   memset (w, 0, sizeof *w);
   gm_random_seed (&w->random, seed);
+  /* Every other world has queues in shares.  */
+  w->link_rate = seed % 2 == 0 ? 0 : SMALL_LINK;
   w->now = START;
   w->events = g_sequence_new (g_free);
   md_init (&w->group, sw_violation);
--- a/tests/fuzz/sessions.h
+++ b/tests/fuzz/sessions.h
@@ -13,7 +13,8 @@
 #define SESSIONS 12
 #define START (100 * GM_SECOND)
 #define TICK (5 * GM_MS)
-#define AGE (400 * GM_MS) /* of the services that bound it */
+#define SMALL_LINK 1000000 /* bits a second; less than a slot serves */
+#define AGE (400 * GM_MS)  /* of the services that bound it */
 #define SETTLE (20 * GM_SECOND)
 
 typedef struct World World;
@@ -76,7 +77,8 @@
   guint64 orders;
   GSequence *events;
   MdGroup group;
-  CsState *state; /* the committed one */
+  CsState *state;    /* the committed one */
+  guint64 link_rate; /* of all hosts, bits a second; 0: ample */
   guint64 version;
   Host hosts[HOSTS];
   Caller callers[SESSIONS];
--- a/tests/small_links.c
+++ b/tests/small_links.c
@@ -322,7 +322,12 @@
   pool->host = host;
   pool->id = g_strdup (id);
   pool->core = pl_new (&policy, &w->transactions);
-  pl_limits (pool->core, w->now, w->load.slots, w->load.connections,
+  guint shares;
+  gint share = cs_share (w->state, id, host->name, &shares);
+  g_assert_cmpint (share, >=, 0);
+  pl_limits (pool->core, w->now,
+             (guint)pl_part (w->load.slots, (guint)share, shares),
+             (guint)pl_part (w->load.connections, (guint)share, shares),
              3 * GM_SECOND);
   g_hash_table_insert (host->pools, pool->id, pool);
   at (w, w->now + TICK, tick, pool);
@@ -444,7 +449,8 @@
                                  .caller = (char *)"",
                                  .link = (char *)"",
                                  .data_centre = place,
-                                 .roles = CS_POOL } };
+                                 .roles = CS_POOL,
+                                 .link_rate = w->load.link_rate } };
   cs_apply (w->state, w->state->version + 1, &up, NULL);
 }
 
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -323,7 +323,7 @@
 
 static void
 add_pool_host (CsState *state, const char *host, const char *data_centre,
-               gboolean pool)
+               gboolean pool, guint64 link_rate)
 {
   WmMessage m = { .type = WM_TYPE_CMD_HOST,
                   .cmd_host = { .host = (char *)host,
@@ -331,23 +331,31 @@
                                 .caller = (char *)"",
                                 .link = (char *)"",
                                 .data_centre = (char *)data_centre,
-                                .roles = pool ? CS_POOL : 0 } };
+                                .roles = pool ? CS_POOL : 0,
+                                .link_rate = link_rate } };
   cs_apply (state, state->version + 1, &m, NULL);
 }
 
 static void
-add_database (CsState *state, const char *id, const char *data_centre)
+add_slots (CsState *state, const char *id, const char *data_centre,
+           guint64 slots)
 {
   WmMessage m = { .type = WM_TYPE_CMD_DATABASE,
                   .cmd_database = { .id = (char *)id,
                                     .group = (char *)"g",
                                     .address = (char *)"",
                                     .data_centre = (char *)data_centre,
-                                    .slots = 2,
+                                    .slots = slots,
                                     .incarnation = 1 } };
   cs_apply (state, state->version + 1, &m, NULL);
 }
 
+static void
+add_database (CsState *state, const char *id, const char *data_centre)
+{
+  add_slots (state, id, data_centre, 2);
+}
+
 /* Who holds the queues of four databases: evenly, near them, never nobody.  */
 static void
 test_pools (void)
@@ -360,22 +368,72 @@
   add_database (state, "d3", "b");
   add_database (state, "d4", "c");
   g_assert_null (cs_pool (state, "d1"));
-  add_pool_host (state, "a1", "a", TRUE);
-  add_pool_host (state, "a2", "a", TRUE);
-  add_pool_host (state, "b1", "b", TRUE);
-  add_pool_host (state, "c1", "c", TRUE);
+  add_pool_host (state, "a1", "a", TRUE, 0);
+  add_pool_host (state, "a2", "a", TRUE, 0);
+  add_pool_host (state, "b1", "b", TRUE, 0);
+  add_pool_host (state, "c1", "c", TRUE, 0);
   g_assert_cmpstr (cs_pool (state, "d1")->data_centre, ==, "a");
   g_assert_cmpstr (cs_pool (state, "d2")->data_centre, ==, "a");
   g_assert_true (cs_pool (state, "d1") != cs_pool (state, "d2"));
   g_assert_cmpstr (cs_pool (state, "d3")->host, ==, "b1");
   /* A data centre without hosts: its database goes anywhere, and takes nobody
      else's place.  */
-  add_pool_host (state, "c1", "c", FALSE);
+  add_pool_host (state, "c1", "c", FALSE, 0);
   for (guint i = 0; i < G_N_ELEMENTS (ids); i++)
     g_assert_nonnull (cs_pool (state, ids[i]));
   g_assert_cmpstr (cs_pool (state, "d3")->host, ==, "b1");
 }
 
+/* Into how many shares a database's queue is divided.  */
+static const struct
+{
+  guint hosts;
+  guint64 link_rate;
+  guint64 slots;
+  guint shares;
+} divisions[] = {
+  { 4, 0, 4, 1 },         /* nothing is known of the links */
+  { 4, 700000000, 2, 1 }, /* one host carries it all */
+  { 4, 6600000, 2, 1 },   /* just so */
+  { 4, 6500000, 2, 2 },   /* not quite */
+  { 30, 1400000, 4, 4 },  /* a slot's load is the least that is divided off */
+  { 2, 1400000, 4, 2 },   /* each share on a host of its own */
+  { 1, 1, 4, 1 },
+  { 30, 1400000, 0, 1 }, /* a database that announced no slots */
+};
+
+static void
+test_shares (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (divisions); i++)
+    {
+      g_autoptr (CsState) state = cs_new ();
+      g_autoptr (GHashTable) held = g_hash_table_new (NULL, NULL);
+      guint shares;
+      add_slots (state, "d1", "a", divisions[i].slots);
+      add_slots (state, "d2", "a", divisions[i].slots);
+      for (guint k = 0; k < divisions[i].hosts; k++)
+        {
+          g_autofree char *name = g_strdup_printf ("a%u", k);
+          add_pool_host (state, name, "a", TRUE, divisions[i].link_rate);
+        }
+      const GPtrArray *holders = cs_holders (state, "d1");
+      g_assert_cmpuint (holders->len, ==, divisions[i].shares);
+      for (guint k = 0; k < holders->len; k++)
+        {
+          const CsHost *host = g_ptr_array_index (holders, k);
+          g_assert_true (g_hash_table_add (held, (gpointer)host));
+          g_assert_cmpint (cs_share (state, "d1", host->host, &shares), ==,
+                           (gint)k);
+          g_assert_cmpuint (shares, ==, holders->len);
+          /* Where there are hosts for all, each has one share.  */
+          if (divisions[i].hosts >= 2 * divisions[i].shares)
+            g_assert_cmpint (cs_share (state, "d2", host->host, &shares), ==,
+                             -1);
+        }
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -387,6 +445,7 @@
   g_test_add_func ("/state/stall", test_stall);
   g_test_add_func ("/state/highest", test_highest);
   g_test_add_func ("/state/pools", test_pools);
+  g_test_add_func ("/state/shares", test_shares);
   g_test_add_func ("/state/read-on-demand", test_read_on_demand);
   return g_test_run ();
 }
