Configurations go to hosts compressed, and those overtaken without their text

Cause: each configuration, 11 kB, went whole to each of 93 hosts, at once, over the link that their statements need; 25 of them in 1.5 s are more than the link carries. Ruled out: repeated sending after a change of control host (280 kB a host in that storm, as many as 25 texts). Change: deltas and states are deflated (GIO); a host gets configurations at most every 300 ms unless other news goes with them; within one delta the text of those that a higher number overtakes is left out; one encoding serves all hosts that lack the same.

--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -28,6 +28,7 @@
   core->host = g_strdup (self->host);
   core->log = log;
   core->state = cs_new ();
+  core->feed.empty = TRUE;
   core->members = mb_new ();
   core->failover = fo_new ();
   core->subscribers
@@ -60,6 +61,7 @@
     }
   g_ptr_array_unref (core->subscribers);
   g_hash_table_unref (core->proposals);
+  co_feed_clear (core);
   cl_free (core->log);
   cs_free (core->state);
   mb_free (core->members);
@@ -177,6 +179,7 @@
   WmMessage command;
   gsize length;
   const void *data = g_bytes_get_data (entry->data, &length);
+  gboolean configures = FALSE;
   if (entry->type == CL_MEMBERS)
     gm_log (GM_EV_VOTERS, "version %u", (guint)entry->index);
   if (entry->type != CL_COMMAND
@@ -186,8 +189,11 @@
     {
       cs_apply (core->state, entry->index, &command, &status);
       log_outcome (&command, &status);
+      configures = command.type == WM_TYPE_CMD_CONFIG;
       wm_clear (&command);
     }
+  if (!configures)
+    core->other = entry->index;
   const Proposal *p = g_hash_table_lookup (core->proposals, &entry->index);
   if (p != NULL)
     answer_proposal (core, p->link, p->host, p->sequence, &status,
@@ -208,6 +214,7 @@
     return;
   cs_free (core->state);
   core->state = fresh;
+  core->other = fresh->version;
 }
 
 static void
--- a/lib/control/core.h
+++ b/lib/control/core.h
@@ -13,8 +13,19 @@
   guint64 incarnation;
   guint64 sent;   /* version up to which it was sent the state */
   guint64 beaten; /* its clock in its last heartbeat */
+  GmTime fed;     /* when it was last sent a configuration; 0: never */
 } Subscriber;
 
+/* A message for subscribers, kept for those that lack the same.  */
+typedef struct
+{
+  guint64 first; /* versions; 0: the whole state up to last */
+  guint64 last;
+  gboolean empty; /* nothing is kept */
+  gboolean configures;
+  WmMessage message;
+} Feed;
+
 struct CoCore
 {
   char *host;
@@ -26,6 +37,8 @@
   GPtrArray *subscribers; /* Subscriber * */
   GHashTable *proposals;  /* index -> Proposal */
   GQueue sends;           /* CoSend * */
+  Feed feed;
+  guint64 other; /* the last version that is no configuration */
   guint voters_min;
   gboolean led;
   gboolean failed;
@@ -38,6 +51,8 @@
 void co_queue (CoCore *core, guint64 link, const char *to, const WmMessage *m);
 
 /* feed.c  */
+/* Drops the message that is kept.  */
+void co_feed_clear (CoCore *core);
 void co_subscriber_free (Subscriber *subscriber);
 /* The subscriber on LINK, or NULL.  */
 Subscriber *co_find_subscriber (const CoCore *core, guint64 link);
--- a/lib/control/feed.c
+++ b/lib/control/feed.c
@@ -1,7 +1,16 @@
 #include "core.h"
 #include "base/mutant.h"
+#include "wire/pack.h"
 #include <string.h>
 
+#define PACK_LEAST                                                            \
+  1024 /* bytes; smaller blocks fit one packet as they are                    \
+        */
+/* Between two configurations to one subscriber, unless something else has to
+   go there: those of a storm overtake each other meanwhile.  A tenth of the
+   time in which operators expect one to be in force.  */
+#define CONFIG_SPACING (300 * GM_MS)
+
 void
 co_subscriber_free (Subscriber *subscriber)
 {
@@ -9,79 +18,171 @@
   g_free (subscriber);
 }
 
-static void
-send_state (CoCore *core, Subscriber *s)
+/* BLOCK as subscribers get it: compressed where that pays.  */
+static GBytes *
+pack_for_hosts (GBytes *block, guint64 *packed)
 {
-  g_autoptr (GBytes) block = cs_encode_for_hosts (core->state);
-  WmMessage m
-      = { .type = WM_TYPE_STATE,
-          .state = { .version = core->state->version, .data = block } };
-  co_queue (core, s->link, NULL, &m);
-  s->sent = core->state->version;
+  *packed = g_bytes_get_size (block) >= PACK_LEAST ? 1 : 0;
+  return *packed != 0 ? wm_pack (block) : g_bytes_ref (block);
+}
+
+void
+co_feed_clear (CoCore *core)
+{
+  wm_clear (&core->feed.message);
+  core->feed = (Feed){ .empty = TRUE };
+}
+
+/* Whether the message that was made last is that of the versions FIRST to
+   LAST.  */
+static gboolean
+is_kept (const CoCore *core, guint64 first, guint64 last)
+{
+  return !core->feed.empty && core->feed.first == first
+         && core->feed.last == last;
 }
 
-/* ENTRY without what only control hosts need.  */
 static void
-strip (WmMessage *entry)
+send_state (CoCore *core, GmTime now, Subscriber *s)
+{
+  guint64 version = core->state->version;
+  if (!is_kept (core, 0, version))
+    {
+      co_feed_clear (core);
+      g_autoptr (GBytes) block = cs_encode_for_hosts (core->state);
+      core->feed = (Feed){ .last = version };
+      WmMessage *m = &core->feed.message;
+      m->type = WM_TYPE_STATE;
+      m->state.version = version;
+      m->state.data = pack_for_hosts (block, &m->state.packed);
+    }
+  co_queue (core, s->link, NULL, &core->feed.message);
+  s->sent = version;
+  s->fed = now;
+}
+
+/* A configuration's command, or FALSE when ENTRY is another.  */
+static gboolean
+decode_config (const struct wm_rec_entry *entry, WmMessage *command)
 {
-  WmMessage command;
   gsize length;
-  const void *data = g_bytes_get_data (entry->rec_entry.data, &length);
-  if (entry->rec_entry.type != CL_COMMAND
-      || wm_decode (data, length, &command, NULL) != GM_OK)
-    return;
-  if (command.type == WM_TYPE_CMD_CONFIG
-      && g_bytes_get_size (command.cmd_config.source) > 0)
+  const void *data = g_bytes_get_data (entry->data, &length);
+  if (entry->type != CL_COMMAND
+      || wm_decode (data, length, command, NULL) != GM_OK)
+    return FALSE;
+  if (command->type == WM_TYPE_CMD_CONFIG)
+    return TRUE;
+  wm_clear (command);
+  return FALSE;
+}
+
+/* The highest number of a configuration in LIST that overtakes all lower
+   ones.  */
+static guint64
+highest_number (GBytes *list)
+{
+  WmMessage entry, command;
+  gsize at = 0;
+  guint64 highest = 0;
+  while (wm_next (list, &at, &entry))
     {
-      g_bytes_unref (command.cmd_config.source);
-      command.cmd_config.source = NULL;
-      g_bytes_unref (entry->rec_entry.data);
-      entry->rec_entry.data = wm_encode (&command);
+      if (decode_config (&entry.rec_entry, &command))
+        {
+          if (command.cmd_config.highest != 0)
+            highest = MAX (highest, command.cmd_config.number);
+          wm_clear (&command);
+        }
+      wm_clear (&entry);
     }
+  return highest;
+}
+
+/* ENTRY without what only control hosts need, and without the text of a
+   configuration that one with the number HIGHEST overtakes in the same list:
+   it is never in force once the list has been applied.  TRUE when ENTRY is a
+   configuration.  */
+static gboolean
+strip (WmMessage *entry, guint64 highest)
+{
+  WmMessage command;
+  if (!decode_config (&entry->rec_entry, &command))
+    return FALSE;
+  struct wm_cmd_config *c = &command.cmd_config;
+  g_clear_pointer (&c->source, g_bytes_unref);
+  if (c->number < highest && g_bytes_get_size (c->groups) > 0)
+    g_clear_pointer (&c->text, g_bytes_unref);
+  g_bytes_unref (entry->rec_entry.data);
+  entry->rec_entry.data = wm_encode (&command);
   wm_clear (&command);
+  return TRUE;
 }
 
-/* The entries of LIST as subscribers get them; their number in COUNT.  */
-static GBytes *
-for_hosts (GBytes *list, guint64 *count)
+/* Makes the message that brings a subscriber from version FIRST - 1 on.  FALSE
+   when the log does not reach back so far.  */
+static gboolean
+make_delta (CoCore *core, guint64 first)
 {
-  GByteArray *out = g_byte_array_new ();
+  g_autoptr (GBytes) list
+      = cl_entries_from (core->log, first, core->state->version);
+  if (list == NULL)
+    return FALSE;
+  guint64 highest = highest_number (list);
+  g_autoptr (GByteArray) out = g_byte_array_new ();
   WmMessage entry;
   gsize at = 0;
-  *count = 0;
+  guint64 count = 0;
+  co_feed_clear (core);
   while (wm_next (list, &at, &entry))
     {
-      (*count)++;
-      strip (&entry);
+      count++;
+      core->feed.configures = strip (&entry, highest) || core->feed.configures;
       wm_append (out, &entry);
       wm_clear (&entry);
     }
-  return g_byte_array_free_to_bytes (out);
+  g_autoptr (GBytes) block = g_bytes_new (out->data, out->len);
+  WmMessage *m = &core->feed.message;
+  core->feed.empty = FALSE;
+  core->feed.first = first;
+  core->feed.last = core->state->version;
+  m->type = WM_TYPE_DELTA;
+  m->delta.first = first;
+  m->delta.count = count;
+  m->delta.commands = pack_for_hosts (block, &m->delta.packed);
+  return TRUE;
 }
 
-static void
-send_delta (CoCore *core, Subscriber *s)
+/* Whether S, which lacks configurations only, can wait for the one that
+   overtakes them.  */
+static gboolean
+can_wait (const CoCore *core, GmTime now, const Subscriber *s)
 {
+  return s->sent >= core->other && s->fed != 0
+         && now < s->fed + CONFIG_SPACING;
+}
+
+/* Sends S what it lacks.  FALSE when nothing was sent.  */
+static gboolean
+send_delta (CoCore *core, GmTime now, Subscriber *s)
+{
+  if (s->sent >= core->state->version || can_wait (core, now, s))
+    return FALSE;
   if (s->sent + CO_STATE_BEHIND < core->state->version)
-    send_state (core, s);
+    send_state (core, now, s);
   while (s->sent < core->state->version)
     {
-      g_autoptr (GBytes) list
-          = cl_entries_from (core->log, s->sent + 1, core->state->version);
-      if (list == NULL)
+      guint64 first = s->sent + 1;
+      if (!is_kept (core, first, core->state->version)
+          && !make_delta (core, first))
         {
-          send_state (core, s);
-          return;
+          send_state (core, now, s);
+          return TRUE;
         }
-      guint64 count;
-      g_autoptr (GBytes) stripped = for_hosts (list, &count);
-      WmMessage m = {
-        .type = WM_TYPE_DELTA,
-        .delta = { .first = s->sent + 1, .count = count, .commands = stripped }
-      };
-      co_queue (core, s->link, NULL, &m);
-      s->sent += m.delta.count;
+      co_queue (core, s->link, NULL, &core->feed.message);
+      if (core->feed.configures)
+        s->fed = now;
+      s->sent += core->feed.message.delta.count;
     }
+  return TRUE;
 }
 
 static void
@@ -144,7 +245,7 @@
   if (s == NULL)
     s = add_subscriber (core, link, beat);
   s->beaten = beat->sent;
-  send_delta (core, s);
+  send_delta (core, now, s);
   send_stamp (core, now, s);
 }
 
@@ -152,6 +253,11 @@
 co_serve_subscribers (CoCore *core, GmTime now)
 {
   for (guint i = 0; i < core->subscribers->len; i++)
-    send_delta (core, g_ptr_array_index (core->subscribers, i));
+    {
+      Subscriber *s = g_ptr_array_index (core->subscribers, i);
+      /* The stamps sent while S waited did not vouch for what it had.  */
+      if (send_delta (core, now, s))
+        send_stamp (core, now, s);
+    }
   send_first_stamps (core, now);
 }
--- a/lib/control/subscriber.c
+++ b/lib/control/subscriber.c
@@ -2,8 +2,11 @@
 #include "base/mutant.h"
 #include "base/event.h"
 #include "clog/clog.h"
+#include "wire/pack.h"
 #include <string.h>
 
+#define UNPACKED_MAX (4 * (gsize)WM_FRAME_MAX) /* bytes of one block */
+
 struct SbCore
 {
   CsState *state;
@@ -162,12 +165,26 @@
   wm_clear (&command);
 }
 
+/* BLOCK as it was before it was sent, or NULL when it is damaged.  */
+static GBytes *
+unpacked (GBytes *block, guint64 packed)
+{
+  if (packed == 0)
+    return g_bytes_ref (block);
+  GBytes *whole = wm_unpack (block, UNPACKED_MAX);
+  if (whole == NULL)
+    gm_log (GM_EV_LINK_GARBAGE, "a block of %u bytes can't be unpacked",
+            (guint)g_bytes_get_size (block));
+  return whole;
+}
+
 static void
 take_delta (SbCore *core, const struct wm_delta *delta)
 {
   WmMessage entry;
   gsize at = 0;
-  while (wm_next (delta->commands, &at, &entry))
+  g_autoptr (GBytes) commands = unpacked (delta->commands, delta->packed);
+  while (commands != NULL && wm_next (commands, &at, &entry))
     {
       if (entry.type == WM_TYPE_REC_ENTRY)
         apply_entry (core, &entry.rec_entry);
@@ -181,7 +198,8 @@
   /* The state never goes back, whatever a control host holds.  */
   if (m->version <= core->state->version && !GM_MUTANT (GO_BACK))
     return;
-  CsState *fresh = cs_decode (m->version, m->data);
+  g_autoptr (GBytes) data = unpacked (m->data, m->packed);
+  CsState *fresh = data != NULL ? cs_decode (m->version, data) : NULL;
   if (fresh == NULL)
     return;
   cs_free (core->state);
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -43,14 +43,15 @@
   S (from) S (disk) S (address) U (forwarded)
 
 /* Subscriptions to the control state.  A heartbeat that a control host forwarded to
-   the leader is no subscription there.  */
+   the leader is no subscription there.  packed says that the block is
+   compressed.  */
 #define WM_SUBSCRIBE(U, S, B) \
   S (host) U (incarnation) U (version) U (config) U (sent) U (draining) \
   S (caller) S (link) S (data_centre) U (roles) U (forwarded) U (link_rate)
 #define WM_DELTA(U, S, B) \
-  U (first) U (count) B (commands)
+  U (first) U (count) B (commands) U (packed)
 #define WM_STATE(U, S, B) \
-  U (version) B (data)
+  U (version) B (data) U (packed)
 #define WM_STAMP(U, S, B) \
   U (echo) U (age) U (version) S (leader)
 
--- /dev/null
+++ b/lib/wire/pack.c
@@ -0,0 +1,45 @@
+#include "pack.h"
+#include <gio/gio.h>
+
+#define STEP_BYTES 16384
+
+/* All of BLOCK through CONVERTER, or NULL when it fails or gives more than
+   MOST bytes.  */
+static GBytes *
+convert (GConverter *converter, GBytes *block, gsize most)
+{
+  g_autoptr (GByteArray) out = g_byte_array_new ();
+  gsize left;
+  const guint8 *data = g_bytes_get_data (block, &left);
+  GConverterResult result = G_CONVERTER_CONVERTED;
+  while (result != G_CONVERTER_FINISHED)
+    {
+      guint8 step[STEP_BYTES];
+      gsize read = 0, written = 0;
+      result = g_converter_convert (converter, data, left, step, sizeof step,
+                                    G_CONVERTER_INPUT_AT_END, &read, &written,
+                                    NULL);
+      if (result == G_CONVERTER_ERROR || out->len + written > most)
+        return NULL;
+      g_byte_array_append (out, step, (guint)written);
+      data += read;
+      left -= read;
+    }
+  return g_byte_array_free_to_bytes (g_steal_pointer (&out));
+}
+
+GBytes *
+wm_pack (GBytes *block)
+{
+  g_autoptr (GZlibCompressor) deflate
+      = g_zlib_compressor_new (G_ZLIB_COMPRESSOR_FORMAT_ZLIB, -1);
+  return convert (G_CONVERTER (deflate), block, G_MAXUINT);
+}
+
+GBytes *
+wm_unpack (GBytes *block, gsize most)
+{
+  g_autoptr (GZlibDecompressor) inflate
+      = g_zlib_decompressor_new (G_ZLIB_COMPRESSOR_FORMAT_ZLIB);
+  return convert (G_CONVERTER (inflate), block, most);
+}
--- a/tests/test_decoders.c
+++ b/tests/test_decoders.c
@@ -6,9 +6,11 @@
 #include "dbapi/dbapi.h"
 #include "token/token.h"
 #include "wire/message.h"
+#include "wire/pack.h"
 #include <string.h>
 
 #define ROUNDS 20000
+#define UNPACKED_MAX 65536
 #define KEY "a key for the decoders"
 
 static WmMessage
@@ -50,6 +52,7 @@
     wm_clear (&m);
   while (wm_next (block, &at, &m))
     wm_clear (&m);
+  g_autoptr (GBytes) whole = wm_unpack (block, UNPACKED_MAX);
   g_autoptr (CsState) state = cs_decode (1, block);
   g_autoptr (GPtrArray) strings = wm_strings_decode (block);
   if (db_rows_decode (block, &rows))
@@ -71,11 +74,13 @@
   g_autoptr (GBytes) single = wm_encode (&m);
   const char *strings[] = { "2", "a", "b", "1", NULL };
   g_autoptr (GBytes) rows = wm_strings_encode (strings, 5);
+  g_autoptr (GBytes) packed = wm_pack (single);
   const struct
   {
     const void *data;
     gsize length;
-  } seeds[] = { { list->data, list->len },
+  } seeds[] = { { g_bytes_get_data (packed, NULL), g_bytes_get_size (packed) },
+                { list->data, list->len },
                 { g_bytes_get_data (single, NULL), g_bytes_get_size (single) },
                 { g_bytes_get_data (rows, NULL), g_bytes_get_size (rows) },
                 { g_bytes_get_data (m.cmd_config.text, NULL),
@@ -125,11 +130,27 @@
     }
 }
 
+static void
+test_packed (void)
+{
+  g_autofree char *text = g_strnfill (100000, 'x');
+  g_autoptr (GBytes) block = g_bytes_new (text, 100000);
+  g_autoptr (GBytes) packed = wm_pack (block);
+  g_autoptr (GBytes) whole = wm_unpack (packed, 100000);
+  g_assert_cmpuint (g_bytes_get_size (packed), <, 1000);
+  g_assert_true (g_bytes_equal (block, whole));
+  /* A small block must not fill the memory.  */
+  g_assert_null (wm_unpack (packed, 99999));
+  g_autoptr (GBytes) torn = g_bytes_new_from_bytes (packed, 0, 50);
+  g_assert_null (wm_unpack (torn, 100000));
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/decoders/garbage", test_garbage);
   g_test_add_func ("/decoders/tokens", test_tokens);
+  g_test_add_func ("/decoders/packed", test_packed);
   return g_test_run ();
 }
