Entry hosts keep to one share of a queue while it is not much longer

What callers saw: after a total loss of power, and in the first seconds, statements took a second on the grown deployments. Cause: in turn over all shares, each entry host made links to 92 others at once, 0.6 kB each way for each, over a link of 175 kB/s that had callers' statements to carry. Change: an entry host prefers one share of each queue, by hash, and takes another when that is shorter by a statement's time or the preferred one's host is silent.

--- a/lib/session/router.c
+++ b/lib/session/router.c
@@ -9,6 +9,9 @@
 /* A read at the primary takes a slot that writes can't have elsewhere: it is
    worth this much waiting at a replica, about one statement's time.  */
 #define PRIMARY_COST (8 * GM_MS)
+/* Another share of a queue than the preferred one has to be so much shorter:
+   about one statement's time.  */
+#define SHARE_CHANGE (8 * GM_MS)
 /* A replica that lacked a position is asked again after the first time, then
    after twice as long, up to the last: each try costs a read a trip, and all
    entry hosts try.  */
@@ -50,7 +53,7 @@
   const LvCore *hosts;
   GHashTable *groups;    /* name -> Group */
   GHashTable *estimates; /* id -> Estimate */
-  guint turn;            /* which of equal holders comes first */
+  guint64 seed;          /* of the host, for which holders it prefers */
 };
 
 static void
@@ -69,9 +72,10 @@
 }
 
 SrRouter *
-sr_new (const char *data_centre, const LvCore *hosts)
+sr_new (const char *host, const char *data_centre, const LvCore *hosts)
 {
   SrRouter *router = g_new0 (SrRouter, 1);
+  router->seed = gm_hash (host, strlen (host), 0);
   router->hosts = hosts;
   router->data_centre = g_strdup (data_centre);
   router->groups = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -236,21 +240,31 @@
   return known != NULL ? MAX (known->wait - (now - known->at), 0) : 0;
 }
 
-static const CsHost *
-best_holder (const SrRouter *router, const CsState *state, GmTime now,
-             const char *id)
+/* Which of SHARES of the queue of the database ID this host prefers: hosts
+   spread evenly over them, and each keeps few links.  */
+static guint
+preferred_share (const SrRouter *router, const char *id, guint shares)
+{
+  return (guint)(gm_hash (id, strlen (id), router->seed) % shares);
+}
+
+const CsHost *
+sr_holder (const SrRouter *router, const CsState *state, GmTime now,
+           const char *id)
 {
   const GPtrArray *holders = cs_holders (state, id);
   const Estimate *estimate = g_hash_table_lookup (router->estimates, id);
   const CsHost *best = NULL;
   GmTime best_wait = G_MAXINT64;
+  guint first
+      = holders != NULL ? preferred_share (router, id, holders->len) : 0;
   for (guint i = 0; holders != NULL && i < holders->len; i++)
     {
       const CsHost *host
-          = g_ptr_array_index (holders, (router->turn + i) % holders->len);
+          = g_ptr_array_index (holders, (first + i) % holders->len);
       if (lv_is_silent (router->hosts, host->host))
         continue;
-      GmTime wait = wait_at (estimate, now, host);
+      GmTime wait = wait_at (estimate, now, host) + (i > 0 ? SHARE_CHANGE : 0);
       if (wait < best_wait)
         {
           best = host;
@@ -260,13 +274,6 @@
   return best;
 }
 
-const CsHost *
-sr_holder (SrRouter *router, const CsState *state, GmTime now, const char *id)
-{
-  router->turn++;
-  return best_holder (router, state, now, id);
-}
-
 const CsDatabase *
 sr_primary (const SrRouter *router, const CsState *state, const char *name)
 {
@@ -303,7 +310,7 @@
       const char *id = g_ptr_array_index (group->databases, i);
       const CsDatabase *d = g_hash_table_lookup (state->databases, id);
       const Estimate *estimate = g_hash_table_lookup (router->estimates, id);
-      const CsHost *holder = best_holder (router, state, now, id);
+      const CsHost *holder = sr_holder (router, state, now, id);
       if (d == NULL || g_strcmp0 (id, except) == 0
           || (d->leaving && d != primary) || (!out_of_reach && holder == NULL)
           || (d != primary && !has_probably (estimate, now, at)))
--- a/lib/session/router.h
+++ b/lib/session/router.h
@@ -20,9 +20,10 @@
 
 typedef struct SrRouter SrRouter;
 
-/* A router on a host of DATA_CENTRE.  HOSTS, borrowed, tells which hosts are
+/* A router on HOST of DATA_CENTRE.  HOSTS, borrowed, tells which hosts are
    silent: the databases whose queues they hold are not chosen.  */
-SrRouter *sr_new (const char *data_centre, const LvCore *hosts);
+SrRouter *sr_new (const char *host, const char *data_centre,
+                  const LvCore *hosts);
 void sr_free (SrRouter *router);
 /* The control state changed.  */
 void sr_state (SrRouter *router, const CsState *state);
@@ -48,8 +49,8 @@
 /* The host to send a statement for the database ID to: of those that hold a
    share of its queue and can be sent to, the one expected to serve it first;
    or NULL.  */
-const CsHost *sr_holder (SrRouter *router, const CsState *state, GmTime now,
-                         const char *id);
+const CsHost *sr_holder (const SrRouter *router, const CsState *state,
+                         GmTime now, const char *id);
 /* Whether HOST has fallen silent.  */
 gboolean sr_is_silent (const SrRouter *router, const char *host);
 /* The primary of GROUP, or NULL when none is known to lead.  */
--- a/tests/fuzz/sessions.c
+++ b/tests/fuzz/sessions.c
@@ -97,7 +97,7 @@
       host->incarnation = i + 1;
       host->state = cs_new ();
       host->liveness = lv_new ();
-      host->router = sr_new ("dc0", host->liveness);
+      host->router = sr_new (host->name, "dc0", host->liveness);
       for (guint j = 0; j < MD_DATABASES; j++)
         host->pools[j] = (Pool){
           .host = host,
--- a/tests/small_links.c
+++ b/tests/small_links.c
@@ -440,7 +440,7 @@
   Host *host = g_new0 (Host, 1);
   host->name = g_strdup_printf ("host%u-%u", centre, number);
   host->peers = lv_new ();
-  host->router = sr_new (place, host->peers);
+  host->router = sr_new (host->name, place, host->peers);
   host->pools = g_hash_table_new (g_str_hash, g_str_equal);
   g_ptr_array_add (w->hosts, host);
   WmMessage up = { .type = WM_TYPE_CMD_HOST,
--- a/tests/test_phases.c
+++ b/tests/test_phases.c
@@ -117,7 +117,7 @@
   memset (b, 0, sizeof *b);
   b->state = three_databases (declaration);
   b->hosts = lv_new ();
-  b->router = sr_new ("dc1", b->hosts);
+  b->router = sr_new ("entry", "dc1", b->hosts);
   b->others = g_array_new (FALSE, FALSE, sizeof (guint64));
   sr_state (b->router, b->state);
   b->world = (SnWorld){ START, b->state, b->router };
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -33,7 +33,7 @@
   LvCore *hosts = lv_new ();
   Bench b = { .state = three_databases (declaration),
               .hosts = hosts,
-              .router = sr_new ("dc1", hosts) };
+              .router = sr_new ("entry", "dc1", hosts) };
   sr_state (b.router, b.state);
   b.world = (SnWorld){ START, b.state, b.router };
   b.session = sn_new (service);
