Removing control hosts leaves three voters, whatever was set

Cause: a removal is in effect as it is appended; of the two voters that it left, one had just lost its disk, and the third, back meanwhile, was behind that log. Change: a voter is removed only while three others answer. The fuzzer's healing world has five control hosts, so that removals still happen there.

--- a/lib/clog/change.c
+++ b/lib/clog/change.c
@@ -2,6 +2,10 @@
 #include "base/mutant.h"
 #include <string.h>
 
+/* Voters that a removal must leave, whatever was set: with two, one that loses
+   its disk takes the quorum along.  */
+#define VOTERS_LEFT 3
+
 static GmKind
 change_members (ClCore *core, GmTime now, GPtrArray *members, GmStatus *status)
 {
@@ -151,8 +155,8 @@
               || silent_since (core, m) < silent_since (core, gone)))
         gone = m;
     }
-  if (gone == NULL
-      || (gone->voter && count_live (core, now) < core->voters_least))
+  guint least = MAX (core->voters_least, VOTERS_LEFT);
+  if (gone == NULL || (gone->voter && count_live (core, now) < least))
     return;
   g_autofree char *host = g_strdup (gone->host);
   cl_remove (core, now, host, NULL);
--- a/tests/fuzz/fuzz.c
+++ b/tests/fuzz/fuzz.c
@@ -125,7 +125,7 @@
       return TRUE;
     case FAULT_LOSE_DISK:
       /* A second loss before the first is repaired is one too many.  */
-      if (a->target >= CONTROL_HOSTS || world_voters (w) < CONTROL_HOSTS)
+      if (a->target >= w->controls || world_voters (w) < w->controls)
         return FALSE;
       world_lose_disk (w, a->target);
       return TRUE;
@@ -235,7 +235,7 @@
   GmTime span = (GmTime)gm_random_below (r, (guint64)faults[a.fault].spread);
   a.until = w->now + faults[a.fault].least + span;
   a.target = (guint)gm_random_below (r, database ? DATABASES : HOSTS);
-  if (w->healing && a.target < CONTROL_HOSTS && a.fault <= FAULT_FREEZE_HOST
+  if (w->healing && a.target < w->controls && a.fault <= FAULT_FREEZE_HOST
       && gm_random_below (r, GONE_ONE_IN) == 0)
     a.until += GONE;
   a.other = (a.target + 1 + (guint)gm_random_below (r, HOSTS - 1)) % HOSTS;
@@ -267,8 +267,8 @@
     oracle_operator_step (run->oracle, &r);
   /* An operator notices an empty disk sooner or later.  */
   if (step % 100 == 0 && !run->world->healing
-      && world_voters (run->world) < CONTROL_HOSTS)
-    for (guint h = 0; h < CONTROL_HOSTS; h++)
+      && world_voters (run->world) < run->world->controls)
+    for (guint h = 0; h < run->world->controls; h++)
       ask_replace (run->world, h);
   oracle_session_step (run->oracle, (guint)gm_random_below (&r, SESSIONS), &r);
   oracle_check (run->oracle);
@@ -282,11 +282,11 @@
   for (int i = 0; i < 30; i++)
     {
       world_advance (w, w->now + SETTLE / 30);
-      if (!w->healing && world_voters (w) < CONTROL_HOSTS)
-        for (guint h = 0; h < CONTROL_HOSTS; h++)
+      if (!w->healing && world_voters (w) < w->controls)
+        for (guint h = 0; h < w->controls; h++)
           ask_replace (w, h);
     }
-  if (w->healing && world_voters (w) < CONTROL_HOSTS)
+  if (w->healing && world_voters (w) < w->controls)
     world_violation (w, "a control host that is back is no voter");
   oracle_final (run->oracle);
 }
--- a/tests/fuzz/hosts.c
+++ b/tests/fuzz/hosts.c
@@ -213,7 +213,7 @@
 beat (Host *h)
 {
   const CsState *state = sb_state (h->subscriber);
-  gboolean control = h->index < CONTROL_HOSTS;
+  gboolean control = h->index < h->world->controls;
   WmMessage m
       = { .type = WM_TYPE_SUBSCRIBE,
           .subscribe = { .host = h->name,
@@ -331,7 +331,7 @@
 dial_peers (Host *h)
 {
   World *w = h->world;
-  for (guint i = 0; i < CONTROL_HOSTS; i++)
+  for (guint i = 0; i < h->world->controls; i++)
     {
       if (i == h->index || h->peers[i] != NULL || w->now < h->peer_dial[i])
         continue;
@@ -377,7 +377,7 @@
   g_snprintf (h->name, sizeof h->name, "host%u", index);
   g_queue_init (&h->deferred);
   g_snprintf (h->disk_name, sizeof h->disk_name, "disk%u-0", index);
-  if (index < CONTROL_HOSTS)
+  if (index < h->world->controls)
     h->disk = memstore_new ();
   h->asks = g_ptr_array_new ();
   w->hosts[index] = h;
@@ -386,15 +386,15 @@
 static void
 open_control (Host *h)
 {
-  const char *peers[CONTROL_HOSTS];
+  const char *peers[HOSTS];
   CoIdentity self
       = { h->name, h->disk_name, h->name, gm_random_next (&h->world->random) };
   GmStatus status;
   h->control = co_open (&self, h->disk, host_now (h), &status);
   g_assert (h->control != NULL);
-  for (guint i = 0; i < CONTROL_HOSTS; i++)
+  for (guint i = 0; i < h->world->controls; i++)
     peers[i] = h->world->hosts[i]->name;
-  cl_set_peers (co_log (h->control), peers, CONTROL_HOSTS);
+  cl_set_peers (co_log (h->control), peers, h->world->controls);
   cl_set_keep (co_log (h->control), KEEP_ENTRIES);
   if (h->world->healing)
     cl_set_unique_hosts (co_log (h->control), VOTERS_LEAST);
@@ -413,7 +413,7 @@
   h->epoch++;
   h->skew = (GmTime)gm_random_below (&w->random, SKEW_MAX);
   h->last_version = 0;
-  h->subscriber = sb_new (h->name, CONTROL_HOSTS, LEASE, host_now (h));
+  h->subscriber = sb_new (h->name, h->world->controls, LEASE, host_now (h));
   h->route = rq_new ();
   h->group = gp_new (GROUP, h->name, &policy, host_now (h));
   h->waiting = g_hash_table_new (NULL, NULL);
@@ -421,7 +421,7 @@
   memset (h->peers, 0, sizeof h->peers);
   memset (h->peer_dial, 0, sizeof h->peer_dial);
   h->subscription = NULL;
-  if (index < CONTROL_HOSTS)
+  if (index < h->world->controls)
     open_control (h);
   world_at (w, world_jitter (w, 0, TICK), AT_HOST, index, tick, NULL, h);
 }
--- a/tests/fuzz/world.c
+++ b/tests/fuzz/world.c
@@ -163,6 +163,7 @@
 {
   World *w = g_new0 (World, 1);
   w->healing = healing;
+  w->controls = healing ? CONTROL_HOSTS_HEALING : CONTROL_HOSTS;
   gm_random_seed (&w->random, seed);
   w->now = 100 * GM_SECOND;
   w->events = g_sequence_new (NULL);
@@ -342,7 +343,7 @@
 {
   guint best = 0;
   guint64 best_commit = 0;
-  for (guint i = 0; i < CONTROL_HOSTS; i++)
+  for (guint i = 0; i < w->controls; i++)
     {
       const Host *h = w->hosts[i];
       if (!h->alive || !co_leads (h->control)
@@ -356,7 +357,7 @@
       for (guint k = 0; k < members->len; k++)
         {
           const ClMember *m = g_ptr_array_index (members, k);
-          for (guint c = 0; c < CONTROL_HOSTS; c++)
+          for (guint c = 0; c < w->controls; c++)
             if (m->voter && strcmp (m->host, w->hosts[c]->name) == 0
                 && strcmp (m->disk, w->hosts[c]->disk_name) == 0)
               best++;
--- a/tests/fuzz/world.h
+++ b/tests/fuzz/world.h
@@ -9,7 +9,9 @@
 #include "store.h"
 
 #define HOSTS 5
-#define CONTROL_HOSTS 3 /* hosts 0 to 2 */
+/* Control hosts, the first ones.  Of three, none is ever removed.  */
+#define CONTROL_HOSTS 3
+#define CONTROL_HOSTS_HEALING 5
 #define DATABASES 3
 #define GROUP "costing"
 #define LEASE (4 * GM_SECOND)
@@ -52,6 +54,7 @@
   GString *violation;   /* empty: none */
   guint violations;
   gboolean healing;
+  guint controls; /* control hosts */
   guint64 checked;
   GmTime disturbed; /* when a fault other than leaving was last there */
   gboolean trace;
--- a/tests/test_clog.c
+++ b/tests/test_clog.c
@@ -442,6 +442,7 @@
   guint silent;
   GmTime after;
   guint left;
+  guint least; /* as set; 0: 3 */
 } gone[] = {
   { 5, 0, 60 * GM_SECOND, 5 }, /* all are there */
   { 5, 1, 10 * GM_SECOND, 5 }, /* may come back */
@@ -451,6 +452,9 @@
   { 7, 2, 16 * GM_SECOND, 5 }, /* one after the other */
   { 4, 1, 4 * GM_SECOND, 3 },
   { 3, 1, 60 * GM_SECOND, 3 }, /* as few as may be */
+  /* With two, the loss of one disk would be the loss of the quorum.  */
+  { 3, 1, 60 * GM_SECOND, 3, 2 },
+  { 4, 1, 4 * GM_SECOND, 3, 1 },
 };
 
 /* The first HOSTS hosts, but for the leader itself, hold all entries.  */
@@ -470,7 +474,7 @@
   for (guint i = 0; i < G_N_ELEMENTS (gone); i++)
     {
       Node n = node_new ("a", "disk");
-      cl_set_unique_hosts (n.core, 3);
+      cl_set_unique_hosts (n.core, gone[i].least != 0 ? gone[i].least : 3);
       lead_alone (&n);
       for (guint j = 1; j < gone[i].voters; j++)
         {
