A queue counts what a statement spends between hosts as time spent

What callers saw: under load urgent statements that could no longer make their aim were served before those that could (SHORT). Cause: a pool knows a statement from its arrival on. On links of 1.4 Mbit/s the way there and back is 10 to 40 ms of an aim of 100, tries before are more, and the pool's due time left them out, so that it served as in time what came late. Change: an entry host adds the time since the statement came and the way of the last statement to that share to what it tells as spent.

test_session, new table: before, spent is 0 but for the caller's wait.

--- a/lib/session/router.c
+++ b/lib/session/router.c
@@ -23,6 +23,7 @@
 {
   GmTime wait;
   GmTime at;
+  GmTime way; /* that the last statement and its answer spent between hosts */
 } Wait;
 
 typedef struct
@@ -159,7 +160,7 @@
 
 void
 sr_note_wait (SrRouter *router, GmTime now, const char *id, const char *host,
-              GmTime wait)
+              GmTime wait, GmTime way)
 {
   const Estimate *estimate = estimate_of (router, id);
   Wait *known = g_hash_table_lookup (estimate->waits, host);
@@ -168,7 +169,16 @@
       known = g_new0 (Wait, 1);
       g_hash_table_insert (estimate->waits, g_strdup (host), known);
     }
-  *known = (Wait){ wait, now };
+  *known = (Wait){ wait, now, way };
+}
+
+GmTime
+sr_way (const SrRouter *router, const char *id, const char *host)
+{
+  const Estimate *estimate = g_hash_table_lookup (router->estimates, id);
+  const Wait *known
+      = estimate != NULL ? g_hash_table_lookup (estimate->waits, host) : NULL;
+  return known != NULL ? known->way : 0;
 }
 
 void
--- a/lib/session/router.h
+++ b/lib/session/router.h
@@ -32,9 +32,12 @@
 void sr_note_lead (SrRouter *router, const char *group, TkPoint point,
                    GmTime at);
 /* HOST would let a further statement wait for WAIT in its share of the queue
-   of the database ID.  */
+   of the database ID; this one and its answer spent WAY between hosts.  */
 void sr_note_wait (SrRouter *router, GmTime now, const char *id,
-                   const char *host, GmTime wait);
+                   const char *host, GmTime wait, GmTime way);
+/* What statements to that share spend between hosts, to HOST and back; 0: not
+   known.  */
+GmTime sr_way (const SrRouter *router, const char *id, const char *host);
 /* The replica ID answered a read that needed a position which the group's
    primary had AT a time: it has it, or LACKS it.  */
 void sr_note_lag (SrRouter *router, GmTime now, const char *id, gboolean lacks,
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -203,6 +203,16 @@
             call->attempts, world->state->version);
 }
 
+/* What of the statement's time is gone when it reaches the queue of DATABASE
+   at HOST, with the way back: the queue knows only what it sees itself.  */
+static GmTime
+spent (const SnSession *s, const SnWorld *world, const char *database,
+       const char *host)
+{
+  return s->waited + (world->now - s->call.arrived)
+         + sr_way (world->router, database, host);
+}
+
 /* Sends the statement on its way to HOST, which holds DATABASE's pool, or
    stands in for the host that does.  */
 static void
@@ -236,7 +246,7 @@
         .transaction = s->transaction,
         .service = g_strdup (s->service),
         .deadline = (guint64)MAX (call->deadline - world->now, 0),
-        .waited = (guint64)s->waited,
+        .waited = (guint64)spent (s, world, database, host),
         .after_term = call->after.term,
         .after_number = call->after.position,
         .id = g_strdup (statement->id),
@@ -446,12 +456,14 @@
 {
   const SnCall *call = &s->call;
   GmTime now = world->now;
+  GmTime held = (GmTime)MIN (done->held, G_MAXINT32);
   if (done->lead_number > 0)
     sr_note_lead (world->router, s->group,
                   (TkPoint){ done->lead_term, done->lead_number },
                   call->sent_at - (GmTime)MIN (done->lead_age, G_MAXINT32));
   sr_note_wait (world->router, now, call->database, call->host,
-                (GmTime)MIN (done->wait, G_MAXINT32));
+                (GmTime)MIN (done->wait, G_MAXINT32),
+                MAX (now - call->sent_at - held, 0));
   if (call->after.position > 0
       && (done->kind == GM_OK || done->kind == GM_LAGGING))
     sr_note_lag (world->router, now, call->database, done->kind == GM_LAGGING,
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -98,8 +98,8 @@
 /* Statements from an entry host to the pool of one database.  operation is a
    PlOperation, begins a DpBegin; incarnation is that of the database, holder
    that of the pool's process, which gave the transaction its number; deadline
-   is the time left in microseconds, waited what the caller had spent waiting
-   before its statement came.  values holds the session's names and
+   is the time left in microseconds, waited what of its time the statement has
+   spent before it came, with what it will spend on the way back.  values holds the session's names and
    values in turn, prepared the shape of the statement that is executed.
    stand_in: the sender's own host serves it, since the queue's holder is out of
    reach.  A
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -70,8 +70,8 @@
         {
           const CsHost *host = g_ptr_array_index (holders, k);
           sr_note_wait (router, NOW - rows[i].age, "db", host->host,
-                        host == preferred ? rows[i].preferred
-                                          : rows[i].others);
+                        host == preferred ? rows[i].preferred : rows[i].others,
+                        0);
         }
       if (rows[i].silent)
         lv_sent (hosts, NOW - LV_SILENT, preferred->host);
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -448,6 +448,59 @@
   bench_free (&b);
 }
 
+/* What a queue is told of a statement's time: how long the caller had waited,
+   how long the statement has been tried, what it spends between hosts.  */
+static const struct
+{
+  GmTime waited; /* by the caller, before */
+  GmTime way;    /* of the statement before it */
+  GmTime held;   /* of that, in the queue and at its database */
+  GmTime tried;  /* until it is sent again */
+  GmTime spent;
+} spendings[] = {
+  { 0, 0, 0, 0, 0 },
+  { 30 * GM_MS, 0, 0, 0, 30 * GM_MS },
+  { 0, 40 * GM_MS, 15 * GM_MS, 0, 25 * GM_MS },
+  { 0, 40 * GM_MS, 40 * GM_MS, 0, 0 },
+  { 0, 40 * GM_MS, 90 * GM_MS, 0, 0 }, /* a clock that runs otherwise */
+  { 0, 0, 0, 50 * GM_MS, 50 * GM_MS },
+  { 0, 40 * GM_MS, 15 * GM_MS, 50 * GM_MS, 75 * GM_MS },
+};
+
+/* Guards against SHORT: a queue counted statements as in time that had used up
+   their time elsewhere.  */
+static void
+test_time_spent (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (spendings); i++)
+    {
+      Bench b = bench_new ("primary");
+      take (&b, SN_READ, NULL, NULL);
+      b.world.now += spendings[i].way;
+      struct wm_statement_done done = { .kind = GM_OK,
+                                        .message = (char *)"",
+                                        .signature = (char *)"sig",
+                                        .held = (guint64)spendings[i].held };
+      sn_step_clear (&b.step);
+      sn_result (b.session, &b.world, &done, &b.step);
+      sn_waited (b.session, spendings[i].waited);
+      take (&b, SN_READ, NULL, NULL);
+      if (spendings[i].tried > 0)
+        {
+          sn_step_clear (&b.step);
+          sn_lost (b.session, &b.world, FALSE, &b.step);
+          g_assert_cmpint (b.step.next, ==, SN_WAIT);
+          b.world.now += spendings[i].tried;
+          sn_step_clear (&b.step);
+          sn_retry (b.session, &b.world, &b.step);
+        }
+      g_assert_cmpint (b.step.next, ==, SN_SEND);
+      g_assert_cmpuint (b.step.statement.statement.waited, ==,
+                        (guint64)spendings[i].spent);
+      bench_free (&b);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -463,5 +516,6 @@
   g_test_add_func ("/session/given-back", test_given_back);
   g_test_add_func ("/session/tries", test_tries);
   g_test_add_func ("/session/unsettled", test_unsettled);
+  g_test_add_func ("/session/time-spent", test_time_spent);
   return g_test_run ();
 }
