--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -1,7 +1,8 @@
 #include "traffic.h"
 
-#define SPAN_MS 2000 /* between two lines: short against a flood of seconds   \
-                      */
+#define SPAN_MS                                                               \
+  2000 /* between two lines: short against a flood of seconds                 \
+        */
 
 typedef struct
 {
--- a/lib/clog/clog.h
+++ b/lib/clog/clog.h
@@ -128,8 +128,8 @@
 
 /* Host names are unique: a host that asks to join with another disk has lost
    the old one and is admitted without an operator.  Members that are gone are
-   removed, while VOTERS_LEAST voters, and three, are left and answer; one that was cut off
-   comes back by itself.  */
+   removed, while VOTERS_LEAST voters, and three, are left and answer; one that
+   was cut off comes back by itself.  */
 void cl_set_unique_hosts (ClCore *core, guint voters_least);
 
 /* Keeps ENTRIES behind a snapshot, instead of CL_KEEP_ENTRIES; a snapshot is
