--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -287,6 +287,35 @@
 check settings-cut-nothing $? "$answer"
 close 3
 
+# Hosts with small links come: queues are divided, a share on each of the two
+# hosts of a data centre.  One holder is lost.
+for n in 8 9 10; do
+  write_entry "$n"
+  sed -i 's/"limits": {/"limits": {"link_mbps": 0.1, /' "$DIR/host$n.json"
+  start_host "$n"
+done
+holds () { # holds HOST DATABASE: its last word on the queue is "taken"
+  tail -n 1 <(grep "the queue of $2:" "$DIR/host$1.log") | grep -q taken
+}
+divided () { holds 5 db1 && holds 8 db1 && holds 6 db2 && holds 9 db2; }
+eventually 10 ready 8 && eventually 10 ready 9 && eventually 10 ready 10
+eventually 10 divided
+check queues-in-two-shares $? "$(grep -h "GM502" "$DIR"/host[5689].log)"
+shared=0
+for n in 5 6 8 9 10; do
+  once "$n" orders "WRITE s$n 1" "DONE sig.*" && once $((n == 10 ? 5 : n + (n == 6 ? 2 : 1))) orders "READ s$n" "ROW 1 *" || shared=1
+done
+check statements-through-both-shares $shared "$answer"
+open 3 9 orders && says 3 BEGIN "DONE -|" && says 3 "WRITE s 1" "DONE sig.*" && says 3 "READ a" "ROW *" && says 3 COMMIT "DONE sig.*" && says 3 "READ s" "ROW 1 *"
+check transaction-stays-in-its-share $? "$answer"
+close 3
+case $(primary) in db0) lost=10 ;; db1) lost=8 ;; *) lost=9 ;; esac
+kill_process "host$lost"
+eventually 10 once 5 orders "WRITE s 2" "DONE sig.*"
+check served-on-without-a-holder $? "$answer"
+once 5 orders "READ s" "ROW 2 *"
+check nothing-lost-with-a-holder $? "$answer"
+
 # A planned stop in mid-transaction: the transaction may end, idle sessions are
 # closed without an error, the process ends by itself.
 open 3 4 orders && says 3 BEGIN "DONE -|" && says 3 "WRITE h 1" "DONE sig.*"
