A primary is judged by all shares of its queue, not by the first alone

Found on reading the change, not seen in a run: with the queue in shares the control leader took stuck writes and open transactions from the first share only. One lost answer there, while the other shares' writes were confirmed, could replace a primary, and one that leaves was replaced over the transactions of the other shares. Change: reports carry when a write was last confirmed; a primary is stuck when no share has seen one confirmed, and what is open counts in all. /takeover/shares, before: the row with one lost answer replaces the primary.

--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -398,7 +398,8 @@
                                .received = health.acked.position,
                                .silent = health.silent,
                                .stuck = health.stuck,
-                               .open = health.open } };
+                               .open = health.open,
+                               .confirmed = health.confirmed } };
   wm_append (out, &seen);
   return !health.reachable || health.silent * GM_MS >= (guint64)TO_ASK
          || health.stuck * GM_MS >= (guint64)TO_STUCK;
--- a/lib/failover/takeover.c
+++ b/lib/failover/takeover.c
@@ -9,9 +9,10 @@
   guint64 incarnation;
   GmTime reported; /* when its pool last told of it; 0: never */
   gboolean reachable;
-  guint64 silent; /* ms */
-  guint64 stuck;  /* ms */
-  guint64 open;
+  guint64 silent;     /* ms */
+  guint64 stuck;      /* ms */
+  GArray *open;       /* guint64, what is in progress, by share of its queue */
+  GmTime confirmed;   /* when a write was last seen confirmed; 0: never */
   guint64 acked_term; /* of the last write that its pool saw acknowledged */
   /* The leader's own calls.  */
   GmTime asked;
@@ -52,6 +53,14 @@
   GQueue actions;     /* ToAction * */
 };
 
+static void
+seen_free (gpointer data)
+{
+  Seen *seen = data;
+  g_array_unref (seen->open);
+  g_free (seen);
+}
+
 static void
 group_free (Group *group)
 {
@@ -66,7 +75,8 @@
   core->host = g_strdup (host);
   core->groups = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                         (GDestroyNotify)group_free);
-  core->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  core->seen
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, seen_free);
   g_queue_init (&core->commands);
   g_queue_init (&core->actions);
   return core;
@@ -151,6 +161,7 @@
     {
       seen = g_new0 (Seen, 1);
       seen->heard = core->led;
+      seen->open = g_array_new (FALSE, TRUE, sizeof (guint64));
       g_hash_table_insert (core->seen, g_strdup (id), seen);
     }
   return seen;
@@ -166,6 +177,10 @@
     return;
   Seen *seen = seen_of (core, m->id);
   seen->acked_term = MAX (seen->acked_term, m->last_term);
+  seen->confirmed = MAX (seen->confirmed,
+                         now - (GmTime)MIN (m->confirmed, G_MAXINT32) * GM_MS);
+  g_array_set_size (seen->open, shares);
+  g_array_index (seen->open, guint64, share) = m->open;
   /* One holder's view of reach and silence is as good as another's.  */
   if (share != 0)
     return;
@@ -173,7 +188,26 @@
   seen->reachable = m->reachable != 0;
   seen->silent = m->silent;
   seen->stuck = m->stuck;
-  seen->open = m->open;
+}
+
+/* Statements and transactions in progress in all shares of a queue.  */
+static guint64
+count_open (const Seen *seen)
+{
+  guint64 open = 0;
+  for (guint i = 0; i < seen->open->len; i++)
+    open += g_array_index (seen->open, guint64, i);
+  return open;
+}
+
+/* Whether the writes of the first share have gone unconfirmed for TO_STUCK,
+   and no other share saw one confirmed meanwhile: a lost answer stands alone.
+ */
+static gboolean
+is_stuck (const Seen *seen, GmTime now)
+{
+  return seen->stuck * GM_MS >= (guint64)TO_STUCK
+         && now >= seen->confirmed + TO_STUCK;
 }
 
 void
@@ -373,7 +407,7 @@
       && fails_to_answer (core, now, own, primary)
       && now >= seen->failing + TO_SILENT)
     return "the primary does not answer, and nobody reports on it";
-  if (fresh && !grace && seen->stuck * GM_MS >= (guint64)TO_STUCK
+  if (fresh && !grace && is_stuck (seen, now)
       && others_serve (core, now, state, primary))
     return "the primary's writes are not confirmed";
   /* A primary that its pool reaches serves, whether or not the control hosts
@@ -566,7 +600,7 @@
   const CsDatabase *old = g_hash_table_lookup (state->databases, group->avoid);
   const Seen *last = seen_of (core, group->avoid);
   /* What is open at a primary that leaves may end first.  */
-  if (old != NULL && old->leaving && last->reachable && last->open > 0
+  if (old != NULL && old->leaving && last->reachable && count_open (last) > 0
       && now < own->sealing_since + TO_LEAVE_GRACE)
     return;
   if (leads_already (core, state, group))
--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -687,6 +687,7 @@
      that nobody confirms.  */
   health->stuck
       = (guint64)((now - MIN (MAX (writes, core->wrote), now)) / GM_MS);
+  health->confirmed = (guint64)(MAX (now - core->wrote, 0) / GM_MS);
   health->open = core->running->len + g_hash_table_size (core->transactions);
   health->acked = core->acked;
 }
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -181,6 +181,7 @@
   gboolean reachable;
   guint64 silent;
   guint64 stuck;
+  guint64 confirmed;
   guint open;
   TkPoint acked;
 } PlHealth;
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -70,11 +70,12 @@
   U (sequence) S (host) S (member) S (action)
 
 /* One database as a dispatcher sees it, inside a report.  Positions are log
-   positions; silent and stuck are in milliseconds; open counts requests and
-   transactions in progress there.  */
+   positions; silent, stuck and confirmed are in milliseconds, the last since a
+   write was confirmed there; open counts requests and transactions in progress
+   there.  */
 #define WM_SEEN(U, S, B) \
   S (id) U (reachable) U (primary) U (term) U (last_term) U (received) \
-  U (applied) U (silent) U (stuck) U (open)
+  U (applied) U (silent) U (stuck) U (open) U (confirmed)
 
 /* Requests from an entry host to a dispatcher.  operation is a DpOperation;
    incarnation is that of the dispatcher that holds the transaction;
--- a/tests/fuzz/session_control.c
+++ b/tests/fuzz/session_control.c
@@ -235,7 +235,8 @@
                                    .received = h.acked.position,
                                    .silent = h.silent,
                                    .stuck = h.stuck,
-                                   .open = h.open } };
+                                   .open = h.open,
+                                   .confirmed = h.confirmed } };
       wm_append (out, &seen);
     }
   g_autoptr (GBytes) list = g_byte_array_free_to_bytes (out);
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -89,6 +89,7 @@
                                .reachable = reachable ? 1 : 0,
                                .silent = silent,
                                .stuck = stuck,
+                               .confirmed = stuck,
                                .last_term = 1,
                                .received = acked } };
   GByteArray *out = g_byte_array_new ();
@@ -451,6 +452,82 @@
   bench_free (&b);
 }
 
+/* What a holder of a share of a database's queue tells.  */
+static void
+report_share (Bench *b, guint share, const char *id, guint64 stuck,
+              guint64 confirmed, guint64 open)
+{
+  const CsHost *host = g_ptr_array_index (cs_holders (b->state, id), share);
+  WmMessage seen = { .type = WM_TYPE_SEEN,
+                     .seen = { .id = (char *)id,
+                               .reachable = 1,
+                               .stuck = stuck,
+                               .last_term = 1,
+                               .open = open,
+                               .confirmed = confirmed } };
+  GByteArray *out = g_byte_array_new ();
+  wm_append (out, &seen);
+  g_autoptr (GBytes) list = g_byte_array_free_to_bytes (out);
+  WmMessage m = { .type = WM_TYPE_REPORT,
+                  .report = { .host = host->host, .databases = list } };
+  to_report (b->core, b->now, b->state, &m.report);
+}
+
+/* db0's queue is held in two shares: what each sees, and whether db0 is taken
+   for stuck, or, when it leaves, its successor is chosen at once.  */
+static const struct
+{
+  guint64 stuck;     /* of the first share */
+  guint64 confirmed; /* ms, of the second one */
+  guint64 open;      /* at the second one */
+  gboolean leaving;
+  gboolean replaced;
+} shares[] = {
+  { 1100, 2000, 0, FALSE, TRUE },
+  { 1100, 100, 0, FALSE, FALSE }, /* one answer was lost */
+  { 0, 0, 0, TRUE, TRUE },
+  { 0, 0, 3, TRUE, FALSE }, /* transactions may end first */
+};
+
+static void
+test_shares (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (shares); i++)
+    {
+      Bench b = bench_new ();
+      for (guint k = 0; k < 2; k++)
+        {
+          g_autofree char *name = g_strdup_printf ("host%u", k);
+          WmMessage up = { .type = WM_TYPE_CMD_HOST,
+                           .cmd_host = { .host = name,
+                                         .incarnation = 1,
+                                         .caller = (char *)"",
+                                         .link = (char *)"127.0.0.1:1",
+                                         .data_centre = (char *)"dc",
+                                         .roles = CS_POOL,
+                                         .link_rate = 100000 } };
+          commit (&b, &up);
+        }
+      g_assert_cmpuint (cs_holders (b.state, "db0")->len, ==, 2);
+      report_share (&b, 0, "db0", shares[i].stuck, shares[i].stuck, 0);
+      report_share (&b, 1, "db0", 0, shares[i].confirmed, shares[i].open);
+      report_share (&b, 0, "db1", 0, 0, 0);
+      report_share (&b, 0, "db2", 0, 0, 0);
+      if (shares[i].leaving)
+        add_database (&b, 0, TRUE);
+      look (&b);
+      look (&b);
+      if (shares[i].leaving)
+        {
+          g_assert_cmpstr (primary (&b), ==, "");
+          g_assert_cmpint (b.calls[FO_CALL_SEAL] > 0, ==, shares[i].replaced);
+        }
+      else
+        g_assert_cmpint (*primary (&b) == '\0', ==, shares[i].replaced);
+      bench_free (&b);
+    }
+}
+
 /* A second leader never orders; an answer that comes late changes nothing.  */
 static void
 test_follower (void)
@@ -479,6 +556,7 @@
   g_test_add_func ("/takeover/old-seal", test_old_seal);
   g_test_add_func ("/takeover/late-order", test_late_order);
   g_test_add_func ("/takeover/leaving", test_leaving);
+  g_test_add_func ("/takeover/shares", test_shares);
   g_test_add_func ("/takeover/follower", test_follower);
   return g_test_run ();
 }
