--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -7,6 +7,8 @@
   export GM_MUTANT=$4
   for t in "$1"/test_*; do
     case $t in *.*) continue ;; esac
+    # A test that is red anyway notices nothing.
+    grep -qx "ctest: $(basename "$t" | sed 's/^test_//')" KNOWN-RED.txt && continue
     timeout 20 "$t" >/dev/null 2>&1 || { echo "caught $4: $(basename "$t")"; return; }
   done
   out=$(timeout 120 "$1/sessions" --seed 1 --seeds 30 2>&1)
