Reads at the primary wait for a witness: a replaced one serves on

Cause: an accepted BEGIN was taken as proof of the lead.

Ruled out: an old position sample (routes of kind primary use none), and the host's late control state (it is cut off and can't know).

Change: such reads, transactions that may write and position samples wait for another copy, asked after they arrived, that has received no entry of a later term; refused after 100 ms without one. The control leader tells replaced primaries to step down.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 fuzz: all
 	@$(BUILD)/fuzz --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
 	@$(BUILD)/sessions --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
+	@$(BUILD)/sessions --deposed-serves --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
 
 mutants: install-packages
 	@mkdir -p build-mutants
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -3,6 +3,7 @@
 #include "failover/takeover.h"
 #include "pool/pool.h"
 #include "subscription.h"
+#include "witness.h"
 #include <string.h>
 
 /* A gap between two ticks, six times their interval, after which this process
@@ -20,6 +21,7 @@
 #define STAND_IN_CONNECTIONS 2
 /* A stand-in queue that no statement has asked for is closed after this.  */
 #define STAND_IN_IDLE_TIMEOUT (2 * GM_SECOND)
+#define WITNESS_ANSWER_MAX 4096 /* bytes; the answer is one short row */
 #define TICK_MS 10 /* a fifth of the shortest service time of a statement */
 
 typedef struct Pool Pool;
@@ -52,6 +54,7 @@
      queue, or a share of it, itself.  */
   GmTime stand_in_asked_at;
   GHashTable *conns;             /* number -> Conn */
+  GHashTable *witnesses;         /* database id -> Witness */
   GHashTable *transaction_links; /* number -> link number of its entry host */
 };
 
@@ -97,6 +100,7 @@
 pool_free (Pool *pool)
 {
   g_hash_table_unref (pool->conns);
+  g_hash_table_unref (pool->witnesses);
   g_hash_table_unref (pool->transaction_links);
   pl_free (pool->core);
   g_free (pool->id);
@@ -162,6 +166,45 @@
   c->conn = pool->pools->open (&target, &conn_handler, c);
 }
 
+static void
+witness_replied (gpointer owner, const char *id, gboolean answered,
+                 guint64 term)
+{
+  Pool *pool = owner;
+  if (answered)
+    pl_witness_answered (pool->core, pool_now (pool), id, term);
+  else
+    {
+      pl_witness_lost (pool->core, pool_now (pool), id);
+      g_hash_table_remove (pool->witnesses, id);
+    }
+  pump (pool);
+}
+
+/* Asks the database ID of POOL's group for its position.  */
+static void
+ask_witness (Pool *pool, const char *id)
+{
+  const CsState *state
+      = subscription_state (pool->pools->daemon->subscription);
+  const CsDatabase *database = g_hash_table_lookup (state->databases, id);
+  Witness *witness = g_hash_table_lookup (pool->witnesses, id);
+  DbTarget target
+      = { .rows_max = WITNESS_ANSWER_MAX, .group = pool->group, .id = id };
+  if (witness == NULL && database != NULL
+      && cf_address_parse (database->address, &target.address))
+    {
+      witness
+          = witness_new (pool->pools->open, &target, witness_replied, pool);
+      g_hash_table_insert (pool->witnesses, g_strdup (id), witness);
+      g_free (target.address.ip);
+    }
+  if (witness != NULL)
+    witness_ask (witness);
+  else
+    pl_witness_lost (pool->core, pool_now (pool), id);
+}
+
 /* Runs the exchange of ACTION on its connection, which takes ownership of the
    action's strings.  */
 static void
@@ -184,6 +227,7 @@
                               .prepare_name = c->prepare_name,
                               .prepare_shape = action->prepare,
                               .begin = action->begin,
+                              .min_term = action->min_term,
                               .after = r->after_position,
                               .id = r->id,
                               .text = r->text,
@@ -261,8 +305,16 @@
       g_hash_table_remove (pool->conns, &action.connection);
     else if (action.type == PL_RUN)
       run_exchange (pool, &action);
-    else
+    else if (action.type == PL_ANSWER)
       answer_request (pool, action.request);
+    else
+      {
+        if (action.type == PL_ASK_WITNESS)
+          ask_witness (pool, action.witness);
+        else
+          g_hash_table_remove (pool->witnesses, action.witness);
+        pl_action_clear (&action);
+      }
   pool->pumping = FALSE;
 }
 
@@ -290,6 +342,8 @@
   pool->incarnation = database->incarnation;
   pool->conns = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                        (GDestroyNotify)conn_free);
+  pool->witnesses = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                           (GDestroyNotify)witness_free);
   pool->transaction_links
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   g_hash_table_insert (p->pools, pool->id, pool);
@@ -323,6 +377,26 @@
   return own_share (p, state, id, &shares) >= 0;
 }
 
+/* Sets which other copies of its group confirm that POOL's database leads.  */
+static void
+set_witnesses (const Pool *pool, const CsState *state)
+{
+  g_autoptr (GPtrArray) others = g_ptr_array_new ();
+  const CsGroup *group = cs_group (state, pool->group);
+  gboolean leads = group != NULL && strcmp (group->primary, pool->id) == 0;
+  GHashTableIter iter;
+  gpointer key, value;
+  g_hash_table_iter_init (&iter, state->databases);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (strcmp (((const CsDatabase *)value)->group, pool->group) == 0
+        && strcmp (key, pool->id) != 0)
+      g_ptr_array_add (others, key);
+  /* An acknowledged write is on two copies.  With the primary and all others
+     but one asked, it is on one of these.  */
+  guint needed = MAX (others->len, 2) - 1;
+  pl_set_witnesses (pool->core, pool_now (pool), others, needed, leads);
+}
+
 /* Sets the ownership and the limits of POOL as STATE has them.  */
 static void
 update_pool (Pools *p, Pool *pool, const CsState *state,
@@ -350,6 +424,7 @@
   pl_set_queue_holder (pool->core, now, held_here || is_standing_in (pool));
   pl_set_limits (pool->core, now, (guint)slots, (guint)connections,
                  cs_declaration (state)->transaction_idle_ms * GM_MS);
+  set_witnesses (pool, state);
   pump (pool);
 }
 
--- a/daemon/takeover.c
+++ b/daemon/takeover.c
@@ -57,11 +57,10 @@
 static void
 run_call (DatabaseConn *line)
 {
-  static const DbCallType calls[] = { [FO_CALL_STATUS] = DB_STATUS,
-                                      [FO_CALL_SEAL] = DB_SEAL,
-                                      [FO_CALL_PROMOTE] = DB_PROMOTE,
-                                      [FO_CALL_FOLLOW] = DB_FOLLOW,
-                                      [FO_CALL_UNSEAL] = DB_UNSEAL };
+  static const DbCallType calls[]
+      = { [FO_CALL_STATUS] = DB_STATUS,   [FO_CALL_SEAL] = DB_SEAL,
+          [FO_CALL_PROMOTE] = DB_PROMOTE, [FO_CALL_FOLLOW] = DB_FOLLOW,
+          [FO_CALL_UNSEAL] = DB_UNSEAL,   [FO_CALL_STEP_DOWN] = DB_STEP_DOWN };
   DbCall call = { .type = calls[line->call], .term = line->term };
   db_run (line->conn, &call);
 }
--- a/lib/base/mutant.h
+++ b/lib/base/mutant.h
@@ -36,6 +36,7 @@
   X (LOWER_WINS, "a lower configuration number replaces a higher")            \
   X (VALUES_KEPT, "a connection keeps another session's values")              \
   X (LEAD_UNPROVED, "a primary serves reads without proof that it leads")     \
+  X (WITNESS_UNASKED, "a primary that was replaced vouches for itself")       \
   X (TOKEN_SHARED, "a leader promotes with its predecessor's token")          \
   X (UNSEAL_EARLY, "replicas are unsealed before the new primary leads")      \
   X (UNSETTLED_SERVES, "writes go to a database not yet confirmed primary")   \
--- a/lib/dbapi/dbapi.h
+++ b/lib/dbapi/dbapi.h
@@ -19,12 +19,14 @@
   DB_ROLLBACK,  /* rollback, session reset */
   DB_OUTCOME,   /* look up the request id, status */
   DB_STATUS,
-  DB_SEAL,    /* reject replication from terms lower than term */
-  DB_PROMOTE, /* become the primary of term */
-  DB_FOLLOW,  /* replicate from the primary of term */
-  DB_UNSEAL,  /* accept replication again after DB_SEAL */
-  DB_PLAIN,   /* a statement outside a transaction, without status */
-  DB_EXCHANGE /* the steps in DbCall.exchange */
+  DB_SEAL,      /* reject replication from terms lower than term */
+  DB_PROMOTE,   /* become the primary of term */
+  DB_FOLLOW,    /* replicate from the primary of term */
+  DB_UNSEAL,    /* accept replication again after DB_SEAL */
+  DB_STEP_DOWN, /* become a replica if primary of a term before term */
+  DB_POSITION,  /* status, without occupying a slot */
+  DB_PLAIN,     /* a statement outside a transaction, without status */
+  DB_EXCHANGE   /* the steps in DbCall.exchange */
 } DbCallType;
 
 /* A statement for a database that replicates by itself and signs its answers,
@@ -38,8 +40,10 @@
   const char *prepare_name; /* NULL: nothing to prepare */
   const char *prepare_shape;
   DpBegin begin;
-  TkPoint after; /* log position the database must have reached; position 0:
-                    any */
+  TkPoint after;    /* log position the database must have reached; position 0:
+                       any */
+  guint64 min_term; /* after a begin for writing, the statement is sent only if
+                       the log's end is of this term or a later one */
   const char *id;
   const char *text;         /* statement, or NULL: execute execute_name with
                                arguments */
--- a/lib/dbapi/postgres.c
+++ b/lib/dbapi/postgres.c
@@ -405,6 +405,8 @@
       break;
     case DB_EXCHANGE:
     case DB_UNSEAL:
+    case DB_STEP_DOWN:
+    case DB_POSITION:
       /* Only databases that replicate by themselves get these calls.  */
       g_assert_not_reached ();
     }
--- a/lib/failover/takeover.c
+++ b/lib/failover/takeover.c
@@ -6,6 +6,7 @@
 typedef struct
 {
   GmTime last_heartbeat; /* when its last heartbeat came */
+  gboolean claims_lead;  /* that heartbeat says that it is a primary */
   guint64 incarnation;
   GmTime last_report; /* when its pool last reported on it; 0: never */
   gboolean reachable;
@@ -240,6 +241,7 @@
     view->has_status = FALSE;
   view->incarnation = m->incarnation;
   view->last_heartbeat = now;
+  view->claims_lead = m->primary != 0;
 }
 
 void
@@ -265,6 +267,7 @@
   view->status = *status;
   view->has_status = TRUE;
   view->status_at = now;
+  view->claims_lead = status->primary;
 }
 
 /* Proposes to record that the promotion under TOKEN is done.  */
@@ -494,6 +497,26 @@
                 FO_CALL_UNSEAL, group->term);
 }
 
+/* Tells primaries of earlier terms to step down: one that was cut off from its
+   successor does not know that it was replaced.  */
+static void
+depose_old_primaries (ToCore *core, GmTime now, const CsState *state,
+                      const CsGroup *group, const GroupProgress *progress)
+{
+  gboolean replaced_here = progress->unsealed_term == group->term;
+  g_autoptr (GPtrArray) others
+      = databases_of (state, group->group, group->primary);
+  for (guint i = 0; i < others->len; i++)
+    {
+      const CsDatabase *d = g_ptr_array_index (others, i);
+      DatabaseView *view = view_of (core, d->id);
+      gboolean is_replica = view->has_status && !view->status.primary;
+      if ((view->claims_lead || (replaced_here && !is_replica))
+          && may_call (view, now))
+        start_call (core, now, progress, d, FO_CALL_STEP_DOWN, group->term);
+    }
+}
+
 static void
 watch_primary (ToCore *core, GmTime now, guint64 when, const CsState *state,
                const CsGroup *group, GroupProgress *progress)
@@ -501,6 +524,7 @@
   const CsDatabase *primary
       = g_hash_table_lookup (state->databases, group->primary);
   unseal_replicas (core, now, state, group, primary, progress);
+  depose_old_primaries (core, now, state, group, progress);
   const char *reason
       = replacement_reason (core, now, state, progress, primary);
   if (reason == NULL)
--- a/lib/pool/core.h
+++ b/lib/pool/core.h
@@ -2,7 +2,8 @@
    directory.
 
    request.c: requests.  connections.c: connections and the session state they
-   hold.  pool.c: the queue, running statements, transactions.  */
+   hold.  witness.c: the copies that confirm the primary's lead.  pool.c: the
+   queue, running statements, transactions.  */
 #pragma once
 #include "pool.h"
 
@@ -33,6 +34,18 @@
   GmTime last_active; /* start or end of its last statement */
 };
 
+/* A copy of the group that is asked for its position.  */
+typedef struct
+{
+  char *id;
+  GmTime asked_at;     /* of the question in flight; 0: none */
+  GmTime expires_at;   /* of that question */
+  GmTime confirmed_at; /* when the last answered question was asked; 0: none */
+  guint64 term;        /* highest term that it has received entries of */
+  gboolean is_lost;    /* its last question got no answer */
+  GmTime retry_at;     /* when it may be asked again while lost */
+} PlWitness;
+
 struct PlCore
 {
   DpPolicy policy;
@@ -61,6 +74,10 @@
   gboolean has_leader_proof; /* the next two fields are set */
   TkPoint leader_position;   /* of the database when it proved that it led */
   GmTime leader_proof_time;  /* when that proof was requested */
+  GPtrArray *witnesses;      /* PlWitness * */
+  guint witnesses_needed;    /* to confirm the lead; 0: none */
+  GmTime confirmation_wanted_at; /* arrival of the newest request that needs
+                                    a confirmation */
   guint64 last_conn_id;
   guint64 *transaction_counter; /* of all pools of the process; not owned */
   GQueue actions;               /* PlAction * */
@@ -86,7 +103,28 @@
 /* Takes CONN out of the pool without asking the shell to close it.  */
 void pl_conn_drop (PlCore *core, PlConn *conn);
 
+/* witness.c  */
+GPtrArray *pl_witnesses_new (void);
+/* Asks each witness that is not being asked, and not lost a moment ago.  */
+void pl_ask_witnesses (PlCore *core, GmTime now);
+/* Whether REQUEST may run only after witnesses have confirmed the lead since
+   its arrival.  */
+gboolean pl_needs_confirmation (const PlCore *core, const PlRequest *request);
+gboolean pl_is_confirmed (const PlCore *core, const PlRequest *request);
+/* The time since which enough witnesses have been asked and have answered; 0:
+   too few have.  Stores the highest term that any has received in TERM.  */
+GmTime pl_confirmed_at (const PlCore *core, guint64 *term);
+/* Whether enough witnesses are not lost.  */
+gboolean pl_can_confirm (const PlCore *core);
+/* Gives up questions without an answer.  */
+void pl_expire_witnesses (PlCore *core, GmTime now);
+/* This process did not run for SPAN.  */
+void pl_discount_witness_stall (PlCore *core, GmTime span);
+
 /* pool.c  */
+/* Whether REQUEST must prove that its database is the primary.  A read without
+   a position has no other check that its result is current.  */
+gboolean pl_needs_leader_proof (const PlRequest *request);
 /* Records that the database answered at NOW.  */
 void pl_note_activity (PlCore *core, GmTime now);
 /* Appends an action for the shell and returns it, so that the caller can fill
--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -43,6 +43,7 @@
   core->service_costs
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->connect_backoff = PL_CONNECT_RETRY;
+  core->witnesses = pl_witnesses_new ();
   g_queue_init (&core->actions);
   return core;
 }
@@ -52,6 +53,7 @@
 {
   g_clear_pointer (&action->values_to_set, g_ptr_array_unref);
   g_clear_pointer (&action->prepare, g_free);
+  g_clear_pointer (&action->witness, g_free);
 }
 
 void
@@ -75,6 +77,7 @@
   g_hash_table_unref (core->conns);
   g_hash_table_unref (core->transactions);
   g_hash_table_unref (core->service_costs);
+  g_ptr_array_unref (core->witnesses);
   g_free (core);
 }
 
@@ -188,10 +191,8 @@
     pl_conn_close (core, now, conn);
 }
 
-/* Returns whether REQUEST must prove that its database is the primary.  A read
-   without a position has no other check that its result is current.  */
-static gboolean
-needs_leader_proof (const PlRequest *request)
+gboolean
+pl_needs_leader_proof (const PlRequest *request)
 {
   return request->operation == PL_PROVE_LEADER
          || (request->operation == PL_READ
@@ -216,11 +217,14 @@
   action->begin = conn->transaction == NULL ? request->begins : DP_NO_BEGIN;
   action->roll_back = request->operation == PL_PROVE_LEADER
                       || request->operation == PL_ROLLBACK;
-  if (needs_leader_proof (request))
+  if (pl_needs_leader_proof (request))
     {
       action->begin = DP_BEGIN_WRITE;
       action->roll_back = TRUE;
     }
+  request->confirmed_at = 0;
+  if (pl_needs_confirmation (core, request))
+    request->confirmed_at = pl_confirmed_at (core, &action->min_term);
 }
 
 static gboolean
@@ -235,7 +239,8 @@
 {
   const PlCore *core = data;
   const PlRequest *request = (PlRequest *)base;
-  return request->begins == DP_NO_BEGIN || can_begin (core);
+  return (request->begins == DP_NO_BEGIN || can_begin (core))
+         && pl_is_confirmed (core, request);
 }
 
 static void
@@ -398,6 +403,9 @@
   return TRUE;
 }
 
+static const char unconfirmed_message[]
+    = "not run: no other copy confirms that the database leads";
+
 void
 pl_submit (PlCore *core, GmTime now, PlRequest *request)
 {
@@ -414,9 +422,19 @@
   else if (request->operation == PL_PROVE_LEADER
            && leader_proof_is_recent (core, now))
     answer (core, request, GM_OK, "");
+  else if (pl_needs_confirmation (core, request) && !pl_can_confirm (core))
+    {
+      answer (core, request, GM_UNAVAILABLE, unconfirmed_message);
+      pl_ask_witnesses (core, now);
+    }
   else if (admit (core, now, request))
     {
       dq_push (core->queue, &request->base);
+      if (pl_needs_confirmation (core, request))
+        {
+          core->confirmation_wanted_at = now;
+          pl_ask_witnesses (core, now);
+        }
       pl_schedule (core, now);
     }
 }
@@ -455,13 +473,15 @@
 record_leader_proof (PlCore *core, const PlRequest *request,
                      const DpOutcome *outcome)
 {
+  GmTime proved_at = request->confirmed_at != 0
+                         ? MIN (request->base.started, request->confirmed_at)
+                         : request->base.started;
   if (!outcome->was_primary
-      || (core->has_leader_proof
-          && request->base.started <= core->leader_proof_time))
+      || (core->has_leader_proof && proved_at <= core->leader_proof_time))
     return;
   core->has_leader_proof = TRUE;
   core->leader_position = outcome->primary_point;
-  core->leader_proof_time = request->base.started;
+  core->leader_proof_time = proved_at;
 }
 
 gboolean
@@ -630,6 +650,25 @@
     }
 }
 
+static gboolean
+is_unconfirmed (DpRequest *base, gpointer data)
+{
+  return !pl_is_confirmed (data, (PlRequest *)base);
+}
+
+/* While too few witnesses answer, refuses the queued requests that need
+   them.  */
+static void
+refuse_unconfirmed (PlCore *core, GmTime now)
+{
+  DpRequest *queued;
+  pl_expire_witnesses (core, now);
+  if (pl_can_confirm (core))
+    return;
+  while ((queued = dq_take (core->queue, is_unconfirmed, core)) != NULL)
+    answer (core, (PlRequest *)queued, GM_UNAVAILABLE, unconfirmed_message);
+}
+
 static void
 expire_transactions (PlCore *core, GmTime now)
 {
@@ -654,6 +693,7 @@
   expire_running (core, now);
   handle_overdue (core, now);
   refuse_if_silent (core, now);
+  refuse_unconfirmed (core, now);
   expire_transactions (core, now);
   refuse_late_requests (core, now, TRUE);
   pl_open_connections (core, now);
@@ -679,7 +719,9 @@
 void
 pl_drop_connections (PlCore *core, GmTime now)
 {
+  g_autoptr (GPtrArray) none = g_ptr_array_new ();
   pl_set_queue_holder (core, now, FALSE);
+  pl_set_witnesses (core, now, none, core->witnesses_needed, FALSE);
   g_autoptr (GList) conns = g_hash_table_get_values (core->conns);
   for (GList *l = conns; l != NULL; l = l->next)
     fail_connection (core, now, l->data);
@@ -692,6 +734,7 @@
   if (core->unanswered_since != 0)
     core->unanswered_since += span;
   core->last_write_answer += span;
+  pl_discount_witness_stall (core, span);
   for (guint i = 0; i < core->running->len; i++)
     ((PlRequest *)g_ptr_array_index (core->running, i))->base.started += span;
 }
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -11,6 +11,13 @@
    the values and prepared statements of the session that it lacks.  A
    transaction holds its connection until it ends.
 
+   A primary that was replaced while it was cut off goes on as primary until it
+   hears of its successor.  An acknowledged write is on two copies, so it is on
+   the primary itself or has been received by one of its witnesses: all other
+   copies but one.  A read that must see every acknowledged write runs only
+   after the witnesses were asked, after its arrival, for the term of their
+   last entry, and none has a later one than the primary.
+
    The pool is a pure state machine: the shell reports events and carries out
    the actions that pl_take_action returns, in order.  */
 #pragma once
@@ -36,6 +43,9 @@
    reads arrive: its outcome is unknown if the database is still silent.  */
 #define PL_WRITE_PROBE_INTERVAL (1 * GM_SECOND)
 #define PL_PROBE_TIMEOUT (100 * GM_MS) /* for a read's answer */
+/* A witness that leaves a question unanswered for this long is lost: several
+   trips between data centres.  */
+#define PL_WITNESS_TIMEOUT (100 * GM_MS)
 #define PL_CONNECTING_MAX 4            /* as DP_CONNECTING_MAX */
 #define PL_CONNECT_RETRY (100 * GM_MS) /* as DP_CONNECT_BACKOFF */
 #define PL_CONNECT_RETRY_MAX GM_SECOND /* as DP_CONNECT_BACKOFF_MAX */
@@ -73,7 +83,8 @@
 
   /* Set by the pool.  */
   guint64 answered_before; /* PlCore.answered_count when it was sent */
-  gboolean overdue; /* its answer is taken as lost; it occupies no slot */
+  gboolean overdue;    /* its answer is taken as lost; it occupies no slot */
+  GmTime confirmed_at; /* when the witnesses were asked; 0: no need to */
 
   /* The answer.  */
   GmKind kind;
@@ -87,10 +98,12 @@
 
 typedef enum
 {
-  PL_OPEN,  /* open the connection */
-  PL_CLOSE, /* close the connection at once */
-  PL_RUN,   /* run the request on the connection as the other members say */
-  PL_ANSWER /* answer the request, which the caller then owns */
+  PL_OPEN,   /* open the connection */
+  PL_CLOSE,  /* close the connection at once */
+  PL_RUN,    /* run the request on the connection as the other members say */
+  PL_ANSWER, /* answer the request, which the caller then owns */
+  PL_ASK_WITNESS, /* ask witness for its position; report how that ended */
+  PL_DROP_WITNESS /* close the connection to witness; report nothing */
 } PlActionType;
 
 typedef struct
@@ -102,7 +115,10 @@
   GPtrArray *values_to_set; /* alternating names and values to set; owned */
   char *prepare;            /* shape to prepare, or NULL; owned */
   DpBegin begin;
+  guint64 min_term; /* the statement runs only if the log's end is of this term
+                       or a later one when the transaction has begun */
   gboolean roll_back;
+  char *witness; /* id; owned */
 } PlAction;
 
 typedef struct PlCore PlCore;
@@ -130,6 +146,16 @@
    A transaction without a statement for IDLE is ended.  */
 void pl_set_limits (PlCore *core, GmTime now, guint slots, guint connections,
                     GmTime idle);
+/* Sets the ids of the other copies of the group, of which NEEDED must confirm
+   the lead; 0: the database's own word suffices.  LEADS tells whether the
+   database is known as the primary; its witnesses are then asked at once.  */
+void pl_set_witnesses (PlCore *core, GmTime now, const GPtrArray *ids,
+                       guint needed, gboolean leads);
+/* Report that the witness ID answered, and the TERM of the last entry that it
+   has received; or that it can't be reached.  */
+void pl_witness_answered (PlCore *core, GmTime now, const char *id,
+                          guint64 term);
+void pl_witness_lost (PlCore *core, GmTime now, const char *id);
 /* Returns the part of WHOLE that belongs to share number SHARE, from 0, of
    SHARES; at least 1.  */
 guint64 pl_share_size (guint64 whole, guint share, guint shares);
--- a/standin/lines.c
+++ b/standin/lines.c
@@ -142,7 +142,7 @@
 run_write (Session *s, const char *id, const char *item, const char *data)
 {
   const PdDatabase *db = s->database;
-  if (!md_is_current_primary (&db->group->model, db->model))
+  if (!md_acts_as_primary (&db->group->model, db->model))
     {
       send_error (s, "READONLY");
       return TRUE;
@@ -189,7 +189,7 @@
 run_begin (Session *s, const char *id, gboolean read_only, TkPoint after)
 {
   const PdDatabase *db = s->database;
-  if (!read_only && !md_is_current_primary (&db->group->model, db->model))
+  if (!read_only && !md_acts_as_primary (&db->group->model, db->model))
     send_error (s, "READONLY");
   else if (!md_contains (db->model, db->model->applied, after))
     send_error (s, "LAGGING");
@@ -297,11 +297,14 @@
                       g_ascii_strtoull (at != NULL ? at : "0", NULL, 10));
   else if (strcmp (verb, "UNPAUSE") == 0)
     run_control_call (s, FO_CALL_UNSEAL, 0);
+  else if (strcmp (verb, "STEPDOWN") == 0)
+    run_control_call (s, FO_CALL_STEP_DOWN,
+                      g_ascii_strtoull (at != NULL ? at : "0", NULL, 10));
   else if (s->state == 'E')
     send_error (s, "MALFORMED");
   else if (s->state == 'T' && !s->read_only
-           && !md_is_current_primary (&s->database->group->model,
-                                      s->database->model))
+           && !md_acts_as_primary (&s->database->group->model,
+                                   s->database->model))
     send_error (s, "READONLY");
   else if (strcmp (verb, "COMMIT") == 0)
     return commit_writes (s, id);
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -235,7 +235,7 @@
       const MdDatabase *d = &p->group.model.databases[i];
       g_string_append_printf (
           out, "%s %s log=%u applied=%u\n", d->id,
-          md_is_current_primary (&p->group.model, d) ? "primary" : "replica",
+          md_acts_as_primary (&p->group.model, d) ? "primary" : "replica",
           d->log->len, d->applied);
     }
   g_string_append_printf (out, "promotions=%u violations=%u\n",
--- a/standin/replicas.c
+++ b/standin/replicas.c
@@ -1,6 +1,10 @@
 #include "replicas.h"
 #include <string.h>
 
+/* A replaced primary hears of its successor in one of so many calls of
+   md_replicate.  */
+#define HEARS_OF_SUCCESSOR 200
+
 static void
 commit_free (MdCommit *commit)
 {
@@ -85,6 +89,7 @@
 can_receive (const MdDatabase *d, const MdDatabase *primary)
 {
   return d != primary && d->up && !d->primary && !d->receive_paused
+         && primary->term >= d->term
          && (d->sealed_term == 0 || primary->term >= d->sealed_term);
 }
 
@@ -120,10 +125,22 @@
   return NULL;
 }
 
+/* Makes D a replica, if it is the primary of a term before TERM.  */
+static void
+step_down (MdDatabase *d, guint64 term)
+{
+  d->primary = d->primary && d->term >= term;
+}
+
 void
 md_replicate (MdGroup *g, GmRandom *random)
 {
   const MdDatabase *primary = current_primary (g);
+  /* A replaced primary hears of its successor once they are connected.  */
+  for (guint i = 0; g->deposed_serves && primary != NULL && i < MD_DATABASES;
+       i++)
+    if (random == NULL || gm_random_below (random, HEARS_OF_SUCCESSOR) == 0)
+      step_down (&g->databases[i], primary->term);
   for (guint i = 0; i < MD_DATABASES; i++)
     {
       MdDatabase *d = &g->databases[i];
@@ -165,9 +182,9 @@
 }
 
 gboolean
-md_is_current_primary (const MdGroup *g, const MdDatabase *d)
+md_acts_as_primary (const MdGroup *g, const MdDatabase *d)
 {
-  return d->primary && d->term == g->newest_term;
+  return d->primary && (g->deposed_serves || d->term == g->newest_term);
 }
 
 TkPoint
@@ -242,7 +259,7 @@
   MdDatabase *chosen = find_database (g, id);
   if (token < g->fencing_token || chosen == NULL || !chosen->up)
     return FALSE;
-  if (md_is_current_primary (g, chosen))
+  if (chosen == current_primary (g))
     return TRUE;
   g->newest_term = MAX (g->newest_term + 1, chosen->sealed_term);
   chosen->primary = TRUE;
@@ -254,8 +271,11 @@
   for (guint i = 0; i < MD_DATABASES; i++)
     if (&g->databases[i] != chosen)
       {
-        g->databases[i].primary = FALSE;
-        g->databases[i].sealed_term = 0;
+        MdDatabase *other = &g->databases[i];
+        other->sealed_term = 0;
+        other->primary = other->primary && g->deposed_serves;
+        if (g->deposed_serves && !other->primary)
+          other->term = g->newest_term;
       }
   for (guint i = 0; i < g->acknowledged->len; i++)
     if (!md_primary_has_write (g,
@@ -289,6 +309,8 @@
     d->sealed_term = MAX (d->sealed_term, term);
   if (call == FO_CALL_UNSEAL)
     d->sealed_term = 0;
+  if (call == FO_CALL_STEP_DOWN)
+    step_down (d, term);
   TkPoint received = md_position (d, d->log->len);
   *status = (FoDatabaseStatus){ .primary = d->primary,
                                 .term = d->term,
--- a/standin/replicas.h
+++ b/standin/replicas.h
@@ -49,6 +49,9 @@
   GArray *acknowledged;  /* MdAck */
   guint violations;
   void (*violation) (const char *what);
+  /* A replaced primary keeps its role until it is told to step down or hears
+     of its successor.  */
+  gboolean deposed_serves;
 } MdGroup;
 
 void md_init (MdGroup *group, void (*violation) (const char *what));
@@ -59,8 +62,8 @@
 TkPoint md_position (const MdDatabase *d, guint length);
 /* Returns whether the first LENGTH commits of D's log include POINT.  */
 gboolean md_contains (const MdDatabase *d, guint length, TkPoint point);
-/* Returns whether D is the primary of the newest term.  */
-gboolean md_is_current_primary (const MdGroup *group, const MdDatabase *d);
+/* Returns whether D accepts the statements that only a primary runs.  */
+gboolean md_acts_as_primary (const MdGroup *group, const MdDatabase *d);
 /* Commits WRITES at D, the primary, and copies the log to one replica that can
    receive.  Returns FALSE when there is none: the writes are then not
    acknowledged.  */
--- a/tests/fuzz/model.c
+++ b/tests/fuzz/model.c
@@ -86,7 +86,10 @@
 begin (const MdGroup *g, const MdDatabase *d, MdConn *conn,
        const PlAction *action, MdResult *result)
 {
-  if (action->begin == DP_BEGIN_WRITE && !md_is_current_primary (g, d))
+  if (action->begin == DP_BEGIN_WRITE && !md_acts_as_primary (g, d))
+    return GM_READ_ONLY;
+  if (action->begin == DP_BEGIN_WRITE
+      && md_position (d, d->applied).term < action->min_term)
     return GM_READ_ONLY;
   if (action->begin == DP_BEGIN_READ
       && !md_contains (d, d->applied, action->request->after_position))
@@ -107,13 +110,13 @@
 {
   const PlRequest *r = action->request;
   gboolean single = !conn->in_transaction;
-  if (conn->in_transaction && !conn->read_only && !md_is_current_primary (g, d)
+  if (conn->in_transaction && !conn->read_only && !md_acts_as_primary (g, d)
       && !(s->ends_transaction && conn->writes->len == 0))
     {
       conn->failed = TRUE;
       return GM_READ_ONLY;
     }
-  if (single && s->writes && !md_is_current_primary (g, d))
+  if (single && s->writes && !md_acts_as_primary (g, d))
     return GM_READ_ONLY;
   if (single && !md_contains (d, d->applied, r->after_position))
     return GM_LAGGING;
--- a/tests/fuzz/session_control.c
+++ b/tests/fuzz/session_control.c
@@ -22,6 +22,17 @@
   return counts.queued + counts.running + counts.transactions == 0;
 }
 
+static void
+set_witnesses (World *w, Pool *pool)
+{
+  g_autoptr (GPtrArray) others = g_ptr_array_new ();
+  for (guint i = 0; w->group.deposed_serves && i < MD_DATABASES; i++)
+    if (pool->database != &w->group.databases[i])
+      g_ptr_array_add (others, w->group.databases[i].id);
+  pl_set_witnesses (pool->core, w->now, others, others->len > 0 ? 1 : 0,
+                    FALSE);
+}
+
 static void
 update_pool (World *w, Host *host, Pool *pool)
 {
@@ -49,6 +60,7 @@
   pl_set_queue_holder (pool->core, w->now, mine);
   pl_set_limits (pool->core, w->now, (guint)pl_share_size (2, part, shares),
                  (guint)pl_share_size (20, part, shares), 300 * GM_MS);
+  set_witnesses (w, pool);
   sw_pump_pool (w, pool);
 }
 
@@ -64,6 +76,11 @@
 {
   StateUpdate *news = data;
   Host *host = news->host;
+  if (w->now < host->cut_off_until)
+    {
+      sw_at (w, host->cut_off_until, receive_state, news);
+      return;
+    }
   if (news->version > host->state->version)
     {
       cs_free (host->state);
@@ -328,6 +345,17 @@
     w->group.databases[i].receive_paused = FALSE;
 }
 
+/* Stops replication for long enough that the primary is replaced, and cuts
+   HOST off from control meanwhile: it still reaches the old primary.  */
+static void
+split (World *w, Host *host)
+{
+  for (guint i = 0; i < MD_DATABASES; i++)
+    w->group.databases[i].receive_paused = TRUE;
+  sw_at (w, w->now + 1500 * GM_MS, reconnect_peers, NULL);
+  host->cut_off_until = w->now + 2 * GM_SECOND + sw_delay (w, 2 * GM_SECOND);
+}
+
 static void
 inject_faults (World *w)
 {
@@ -351,6 +379,8 @@
       sw_at (w, w->now + 900 * GM_MS + sw_delay (w, 900 * GM_MS),
              reconnect_peers, NULL);
     }
+  if (w->group.deposed_serves && sw_chance (w, 2))
+    split (w, a);
   if (sw_chance (w, 5))
     cut_link (w, a, b);
   if (sw_chance (w, 3))
--- a/tests/fuzz/session_pools.c
+++ b/tests/fuzz/session_pools.c
@@ -73,6 +73,55 @@
   sw_at (w, w->now + sw_delay (w, 15 * GM_MS), exchange_ends, x);
 }
 
+/* A question to a witness, and later its answer.  */
+typedef struct
+{
+  Pool *pool;
+  guint64 generation;
+  MdDatabase *witness;
+  gboolean answered;
+  guint64 term;
+} Question;
+
+static void
+question_ends (World *w, gpointer data)
+{
+  Question *q = data;
+  Pool *pool = q->pool;
+  if (pool->core != NULL && pool->generation == q->generation)
+    {
+      if (q->answered)
+        pl_witness_answered (pool->core, w->now, q->witness->id, q->term);
+      else
+        pl_witness_lost (pool->core, w->now, q->witness->id);
+      sw_pump_pool (w, pool);
+    }
+  g_free (q);
+}
+
+static void
+question_arrives (World *w, gpointer data)
+{
+  Question *q = data;
+  FoDatabaseStatus status;
+  md_control_call (q->witness, FO_CALL_STATUS, 0, &status);
+  q->answered = q->witness->up && (w->faults_ended || !sw_chance (w, 10));
+  q->term = status.last_term;
+  sw_at (w, w->now + sw_delay (w, 5 * GM_MS), question_ends, q);
+}
+
+static void
+ask_witness (World *w, Pool *pool, const char *id)
+{
+  Question *q = g_new0 (Question, 1);
+  q->pool = pool;
+  q->generation = pool->generation;
+  for (guint i = 0; i < MD_DATABASES; i++)
+    if (strcmp (w->group.databases[i].id, id) == 0)
+      q->witness = &w->group.databases[i];
+  sw_at (w, w->now + sw_delay (w, 5 * GM_MS), question_arrives, q);
+}
+
 static void
 conn_opens (World *w, gpointer data)
 {
@@ -144,7 +193,9 @@
         g_hash_table_remove (pool->conns, &action.connection);
       else if (action.type == PL_RUN)
         run_action (w, pool, &action);
-      else
+      else if (action.type == PL_ASK_WITNESS)
+        ask_witness (w, pool, action.witness);
+      else if (action.type == PL_ANSWER)
         answer (w, pool, action.request);
       pl_action_clear (&action);
     }
--- a/tests/fuzz/sessions.c
+++ b/tests/fuzz/sessions.c
@@ -2,7 +2,7 @@
    random faults.  The model databases record every write and report
    violations.  A seed determines the whole schedule.
 
-   sessions --seed N [--seeds M] [--steps S]  */
+   sessions --seed N [--seeds M] [--steps S] [--deposed-serves]  */
 #include "sessions.h"
 #include <argtable2.h>
 #include <stdio.h>
@@ -71,7 +71,7 @@
 }
 
 static void
-world_init (World *w, guint64 seed)
+world_init (World *w, guint64 seed, gboolean deposed_serves)
 {
   static const char *const services[] = { "primary", "session", "bounded" };
   memset (w, 0, sizeof *w);
@@ -82,6 +82,7 @@
   w->now = START_TIME;
   w->events = g_sequence_new (g_free);
   md_init (&w->group, sw_violation);
+  w->group.deposed_serves = deposed_serves;
   w->state = cs_new ();
   w->statements = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                          statement_free);
@@ -182,11 +183,11 @@
 }
 
 static gboolean
-run_seed (guint64 seed, guint64 steps)
+run_seed (guint64 seed, guint64 steps, gboolean deposed_serves)
 {
   World *w = g_new0 (World, 1);
   first_violation = NULL;
-  world_init (w, seed);
+  world_init (w, seed, deposed_serves);
   while (w->steps < steps && step (w))
     ;
   guint64 served = w->answers[GM_OK];
@@ -208,8 +209,10 @@
   struct arg_int *seed = arg_int0 (NULL, "seed", "N", "the first seed");
   struct arg_int *seeds = arg_int0 (NULL, "seeds", "N", "how many");
   struct arg_int *steps = arg_int0 (NULL, "steps", "N", "statements a seed");
+  struct arg_lit *serves = arg_lit0 (
+      NULL, "deposed-serves", "a replaced primary serves until it steps down");
   struct arg_end *end = arg_end (4);
-  void *table[] = { seed, seeds, steps, end };
+  void *table[] = { seed, seeds, steps, serves, end };
   seed->ival[0] = 1;
   seeds->ival[0] = 1;
   steps->ival[0] = 4000;
@@ -221,7 +224,7 @@
   guint violations = 0;
   for (int i = 0; i < seeds->ival[0]; i++)
     violations += run_seed ((guint64)seed->ival[0] + (guint64)i,
-                            (guint64)steps->ival[0])
+                            (guint64)steps->ival[0], serves->count > 0)
                       ? 0
                       : 1;
   printf ("seeds=%d violations=%u\n", seeds->ival[0], violations);
--- a/tests/fuzz/sessions.h
+++ b/tests/fuzz/sessions.h
@@ -42,6 +42,7 @@
   SrRouter *router;
   LvCore *liveness;
   guint64 transactions;
+  GmTime cut_off_until;     /* no news of the control state until then */
   Pool pools[MD_DATABASES]; /* core NULL: this host has no pool there */
 };
 
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -18,7 +18,9 @@
   guint open_count;
   guint close_count;
   guint run_count;
-  guint write_count; /* writes among the runs */
+  guint write_count;    /* writes among the runs */
+  guint question_count; /* to witnesses */
+  guint drop_count;     /* witnesses that were given up */
 } Fixture;
 
 static void
@@ -39,6 +41,14 @@
       case PL_ANSWER:
         g_ptr_array_add (f->answers, action.request);
         break;
+      case PL_ASK_WITNESS:
+        f->question_count++;
+        pl_action_clear (&action);
+        break;
+      case PL_DROP_WITNESS:
+        f->drop_count++;
+        pl_action_clear (&action);
+        break;
       case PL_RUN:
         pl_action_clear (&f->last_run);
         f->last_run = action;
@@ -317,6 +327,135 @@
   fixture_free (&f);
 }
 
+/* Sets two witnesses, one of which must confirm the lead.  */
+static void
+set_witnesses (Fixture *f)
+{
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+  g_ptr_array_add (ids, (char *)"db1");
+  g_ptr_array_add (ids, (char *)"db2");
+  pl_set_witnesses (f->core, f->now, ids, 1, TRUE);
+  take_actions (f);
+}
+
+/* The primary was cut off from its group and may have been replaced: which
+   statements wait until a witness, asked after they arrived, has answered.  */
+typedef enum
+{
+  WITNESS_SILENT,
+  WITNESS_ANSWERED_BEFORE, /* a question asked before the statement arrived */
+  WITNESS_ANSWERED_SINCE
+} WitnessAnswered;
+
+static const struct
+{
+  PlOperation operation;
+  DpBegin begins;
+  guint64 after;
+  WitnessAnswered answered;
+  gboolean runs;
+} witness_cases[] = {
+  { PL_READ, DP_NO_BEGIN, 0, WITNESS_SILENT, FALSE },
+  { PL_READ, DP_NO_BEGIN, 0, WITNESS_ANSWERED_BEFORE, FALSE },
+  { PL_READ, DP_NO_BEGIN, 0, WITNESS_ANSWERED_SINCE, TRUE },
+  { PL_IN_TRANSACTION, DP_BEGIN_WRITE, 0, WITNESS_ANSWERED_BEFORE, FALSE },
+  { PL_IN_TRANSACTION, DP_BEGIN_WRITE, 0, WITNESS_ANSWERED_SINCE, TRUE },
+  { PL_PROVE_LEADER, DP_NO_BEGIN, 0, WITNESS_ANSWERED_BEFORE, FALSE },
+  { PL_PROVE_LEADER, DP_NO_BEGIN, 0, WITNESS_ANSWERED_SINCE, TRUE },
+  /* The database checks the position itself.  */
+  { PL_READ, DP_NO_BEGIN, 7, WITNESS_SILENT, TRUE },
+  { PL_IN_TRANSACTION, DP_BEGIN_READ, 7, WITNESS_SILENT, TRUE },
+  /* Acknowledged only once a replica of the same term has received it.  */
+  { PL_WRITE, DP_NO_BEGIN, 0, WITNESS_SILENT, TRUE },
+};
+
+static void
+test_witnesses (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (witness_cases); i++)
+    {
+      Fixture f = fixture_new (20);
+      set_witnesses (&f);
+      g_assert_cmpuint (f.question_count, ==, 2);
+      f.now += GM_MS;
+      PlRequest *r = new_request (&f, witness_cases[i].operation, 0);
+      r->begins = witness_cases[i].begins;
+      r->after_position = (TkPoint){ 1, witness_cases[i].after };
+      submit_request (&f, r);
+      if (witness_cases[i].answered != WITNESS_SILENT)
+        pl_witness_answered (f.core, f.now, "db1", 4);
+      take_actions (&f);
+      if (witness_cases[i].answered == WITNESS_ANSWERED_SINCE)
+        pl_witness_answered (f.core, f.now + GM_MS, "db1", 4);
+      take_actions (&f);
+      g_assert_cmpint (f.run_count > 0, ==, witness_cases[i].runs);
+      if (witness_cases[i].answered == WITNESS_ANSWERED_SINCE)
+        g_assert_cmpuint (f.last_run.min_term, ==, 4);
+      /* Without an answer, the statement is refused long before its
+         deadline.  */
+      f.now += PL_WITNESS_TIMEOUT;
+      pl_tick (f.core, f.now);
+      take_actions (&f);
+      g_assert_cmpint (f.answers->len > 0, ==, !witness_cases[i].runs);
+      if (!witness_cases[i].runs)
+        g_assert_cmpint (r->kind, ==, GM_UNAVAILABLE);
+      fixture_free (&f);
+    }
+}
+
+/* With both witnesses lost, statements that need them are refused at once, and
+   served again once a witness answers.  */
+static void
+test_lost_witnesses (void)
+{
+  Fixture f = fixture_new (20);
+  set_witnesses (&f);
+  pl_witness_lost (f.core, f.now, "db1");
+  pl_witness_lost (f.core, f.now, "db2");
+  f.now += PL_CONNECT_RETRY;
+  PlRequest *first = new_request (&f, PL_READ, 0);
+  first->after_position = (TkPoint){ 0, 0 };
+  submit_request (&f, first);
+  g_assert_cmpuint (f.answers->len, ==, 1);
+  g_assert_cmpint (first->kind, ==, GM_UNAVAILABLE);
+  g_assert_cmpuint (f.question_count, ==, 4);
+  pl_witness_answered (f.core, f.now, "db2", 1);
+  PlRequest *second = new_request (&f, PL_READ, 0);
+  second->after_position = (TkPoint){ 0, 0 };
+  f.now += GM_MS;
+  submit_request (&f, second);
+  g_assert_cmpuint (f.run_count, ==, 0);
+  pl_witness_answered (f.core, f.now, "db2", 1);
+  take_actions (&f);
+  g_assert_cmpuint (f.run_count, ==, 1);
+  fixture_free (&f);
+}
+
+/* A position sample is as old as the question to the witnesses, even when this
+   process stalled in between.  */
+static void
+test_witness_dates_proof (void)
+{
+  Fixture f = fixture_new (20);
+  TkPoint point;
+  GmTime at, asked = f.now + GM_MS;
+  set_witnesses (&f);
+  pl_witness_answered (f.core, f.now, "db1", 1);
+  f.now = asked;
+  submit_request (&f, new_request (&f, PL_PROVE_LEADER, 0));
+  f.now += 70 * GM_MS;
+  pl_discount_stall (f.core, 70 * GM_MS);
+  pl_witness_answered (f.core, f.now, "db1", 1);
+  take_actions (&f);
+  DpOutcome outcome
+      = { .kind = GM_OK, .was_primary = TRUE, .primary_point = { 1, 40 } };
+  pl_done (f.core, f.now, f.last_run_conn, &outcome);
+  take_actions (&f);
+  g_assert_true (pl_leader_position (f.core, &point, &at));
+  g_assert_cmpint (at, ==, asked);
+  fixture_free (&f);
+}
+
 /* A flood of bulk requests: those that would miss their deadline are refused
    at once, and urgent requests still run next.  */
 static void
@@ -506,6 +645,9 @@
   g_test_add_func ("/pool/rollback", test_rollback_keeps_connection);
   g_test_add_func ("/pool/pool-before", test_transaction_of_freed_pool);
   g_test_add_func ("/pool/lead", test_leader_proof);
+  g_test_add_func ("/pool/witnesses", test_witnesses);
+  g_test_add_func ("/pool/lost-witnesses", test_lost_witnesses);
+  g_test_add_func ("/pool/witness-dates-proof", test_witness_dates_proof);
   g_test_add_func ("/pool/flood", test_flood);
   g_test_add_func ("/pool/silent", test_silent);
   g_test_add_func ("/pool/overdue", test_overdue);
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -18,7 +18,7 @@
   CsState *state;
   ToCore *core;
   GmTime now;
-  guint calls[FO_CALL_UNSEAL + 1];
+  guint calls[FO_CALL_STEP_DOWN + 1];
   guint orders;
   guint64 token;
   char ordered[16];
@@ -404,6 +404,53 @@
     }
 }
 
+/* A replaced primary that was cut off from its successor serves on until it is
+   told to step down.  */
+static const struct
+{
+  gboolean heartbeat; /* of the replaced primary, as a primary */
+  gboolean answered;  /* it has answered as a replica */
+  gboolean new_leader;
+  gboolean told;
+} deposed_cases[] = {
+  { FALSE, FALSE, FALSE, TRUE }, { FALSE, TRUE, FALSE, FALSE },
+  { TRUE, TRUE, FALSE, TRUE },   { FALSE, FALSE, TRUE, FALSE },
+  { TRUE, FALSE, TRUE, TRUE },
+};
+
+static void
+test_deposed (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (deposed_cases); i++)
+    {
+      Bench b = bench_new ();
+      FoDatabaseStatus replica = { .term = 1 };
+      FoDatabaseStatus leader = { .primary = TRUE, .term = 2 };
+      silence_primary (&b);
+      answer_seal (&b, "db1", 1, 41);
+      answer_seal (&b, "db2", 1, 40);
+      tick (&b);
+      tick (&b);
+      to_call_done (b.core, b.now, "db1", TRUE, &leader);
+      tick (&b);
+      tick (&b);
+      if (deposed_cases[i].new_leader)
+        to_lead (b.core, b.now, 8);
+      else
+        tick (&b);
+      if (deposed_cases[i].answered)
+        to_call_done (b.core, b.now, "db0", TRUE, &replica);
+      if (deposed_cases[i].heartbeat)
+        add_database (&b, 0, FALSE);
+      memset (b.calls, 0, sizeof b.calls);
+      b.now += 3 * TO_CALL_TIMEOUT;
+      tick (&b);
+      g_assert_cmpint (b.calls[FO_CALL_STEP_DOWN] > 0, ==,
+                       deposed_cases[i].told);
+      bench_free (&b);
+    }
+}
+
 /* A restart of the replica ends its seal, so a seal counts only for
    TO_SEAL_MAX_AGE.  */
 static void
@@ -567,6 +614,7 @@
   g_test_add_func ("/takeover/tokens", test_tokens);
   g_test_add_func ("/takeover/next-leader", test_next_leader);
   g_test_add_func ("/takeover/settled", test_settled);
+  g_test_add_func ("/takeover/deposed", test_deposed);
   g_test_add_func ("/takeover/old-seal", test_stale_seal);
   g_test_add_func ("/takeover/late-order", test_late_order);
   g_test_add_func ("/takeover/leaving", test_leaving);
