One poller for all sockets; ticks only while something waits

Cause: the main context looks at every source on each iteration, so a host with 170 open sockets spent half of its processor time there; and four timers woke each entry host 193 times a second, also when idle.

Ruled out: the cost of the statements themselves (microseconds in the cores).

Change: lib/wire/poller, one epoll source for all streams and listeners. The pools tick every 10 ms only while statements are queued or running, peers only while a host owes an answer.

--- a/Makefile
+++ b/Makefile
@@ -61,3 +61,4 @@
 slopes: all
 	@$(BUILD)/slopes
 	@BIN=$(BUILD) tests/measure_slopes.sh
+	@BIN=$(BUILD) tests/measure_lines.sh
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -48,7 +48,7 @@
   LvCore *liveness;
   GmTime last_tick;
   guint64 last_number;
-  guint timer;
+  guint timer; /* GLib source; 0: nothing is unanswered */
 };
 
 static void
@@ -284,6 +284,8 @@
          || m->operation == PL_ROLLBACK;
 }
 
+static void start_ticks (Peers *p);
+
 guint64
 peers_send (Peers *p, const char *host, const char *address,
             WmMessage *statement, GmTime until, PeersAnswer answer,
@@ -303,6 +305,7 @@
   statement->statement.sequence = answer != NULL ? request->number : 0;
   wm_copy (&request->message, statement);
   g_hash_table_insert (p->requests, &request->number, request);
+  start_ticks (p);
   if (peer != NULL && lk_is_up (peer->link))
     send_now (peer, request);
   else if (peer != NULL)
@@ -374,7 +377,7 @@
 {
   Peers *p = data;
   GmTime now = daemon_now (p->daemon);
-  GmTime elapsed = p->last_tick != 0 ? now - p->last_tick : 0;
+  GmTime elapsed = now - p->last_tick;
   LvEvent event;
   p->last_tick = now;
   if (elapsed >= STALL_THRESHOLD)
@@ -382,14 +385,27 @@
   while (lv_next (p->liveness, now, &event))
     handle_liveness_event (p, &event);
   end_all_unanswered (p, select_requests (p, is_expired, &now));
-  return G_SOURCE_CONTINUE;
+  if (g_hash_table_size (p->requests) > 0 || lv_is_waiting (p->liveness))
+    return G_SOURCE_CONTINUE;
+  p->timer = 0;
+  return G_SOURCE_REMOVE;
+}
+
+/* Ticks until all requests are answered.  */
+static void
+start_ticks (Peers *p)
+{
+  if (p->timer != 0)
+    return;
+  p->last_tick = daemon_now (p->daemon);
+  p->timer = g_timeout_add (TICK_MS, tick, p);
 }
 
 static void
 peers_free (DaemonTask *task)
 {
   Peers *p = (Peers *)task;
-  g_source_remove (p->timer);
+  g_clear_handle_id (&p->timer, g_source_remove);
   g_hash_table_unref (p->peers);
   g_hash_table_unref (p->requests);
   lv_free (p->liveness);
@@ -409,7 +425,6 @@
   p->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                        (GDestroyNotify)request_free);
   p->liveness = lv_new ();
-  p->timer = g_timeout_add (TICK_MS, tick, p);
   daemon_add (daemon, &p->task);
   return p;
 }
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -6,9 +6,9 @@
 #include "witness.h"
 #include <string.h>
 
-/* A gap between two ticks, six times their interval, after which this process
-   counts as having been stalled.  */
-#define STALL_THRESHOLD (60 * GM_MS)
+/* A tick that comes so much later than its interval shows that this process
+   was stalled.  */
+#define STALL_THRESHOLD (50 * GM_MS)
 /* Half of TO_REPORT_MAX_AGE, the age at which the leader takes a report for
    out of date.  */
 #define REPORT_INTERVAL (500 * GM_MS)
@@ -23,6 +23,9 @@
 #define STAND_IN_IDLE_TIMEOUT (2 * GM_SECOND)
 #define WITNESS_ANSWER_MAX 4096 /* bytes; the answer is one short row */
 #define TICK_MS 10 /* a fifth of the shortest service time of a statement */
+/* Between ticks while no statement is queued or running.  Half of the shortest
+   delay until a lost connection is opened again.  */
+#define IDLE_TICK_MS 50
 
 typedef struct Pool Pool;
 
@@ -65,10 +68,10 @@
   DbOpen open;
   GHashTable *pools;          /* database id -> Pool */
   guint64 transactions_begun; /* by all pools since the start */
-  GmTime last_tick;
+  GmTime tick_due;            /* when the next tick is due */
   GmTime report_due;
   GmTime last_report;
-  guint timer;
+  guint timer; /* GLib source; 0: there are no pools */
 };
 
 static void pump (Pool *pool);
@@ -458,6 +461,26 @@
     }
 }
 
+static gboolean tick (gpointer data);
+
+static void
+schedule_tick (Pools *p, GmTime due)
+{
+  g_clear_handle_id (&p->timer, g_source_remove);
+  GmTime wait = MAX (due - daemon_now (p->daemon), 0);
+  p->tick_due = due;
+  p->timer = g_timeout_add ((guint)(wait / GM_MS), tick, p);
+}
+
+/* Ticks soon: a statement has arrived, or pools have changed.  */
+static void
+wake (Pools *p)
+{
+  GmTime due = daemon_now (p->daemon) + TICK_MS * GM_MS;
+  if (p->timer == 0 || due < p->tick_due)
+    schedule_tick (p, due);
+}
+
 static void
 pools_state_changed (DaemonTask *task)
 {
@@ -478,6 +501,8 @@
       if (pool != NULL)
         update_pool (p, pool, state, database);
     }
+  if (g_hash_table_size (p->pools) > 0)
+    wake (p);
 }
 
 /* Appends a SEEN record with the health of POOL's database.  Returns whether
@@ -544,32 +569,45 @@
   return TRUE;
 }
 
+/* Whether POOL has statements, which need ticks at short intervals.  */
+static gboolean
+has_statements (const Pool *pool)
+{
+  PlCounts counts;
+  pl_counts (pool->core, &counts);
+  return counts.queued + counts.running > 0;
+}
+
 static gboolean
 tick (gpointer data)
 {
   Pools *p = data;
   GHashTableIter iter;
   gpointer value;
+  gboolean busy = FALSE;
   guint64 queued = 0;
   g_hash_table_foreach_remove (p->pools, drop_idle_stand_in, NULL);
   GmTime now = daemon_now (p->daemon);
-  GmTime elapsed = p->last_tick != 0 ? now - p->last_tick : 0;
-  p->last_tick = now;
+  GmTime late = now - p->tick_due;
   g_hash_table_iter_init (&iter, p->pools);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Pool *pool = value;
       PlCounts counts;
-      if (elapsed >= STALL_THRESHOLD)
-        pl_discount_stall (pool->core, elapsed);
+      if (late >= STALL_THRESHOLD)
+        pl_discount_stall (pool->core, late);
       pl_tick (pool->core, pool_now (pool));
       pump (pool);
       pl_counts (pool->core, &counts);
       queued += counts.queued;
+      busy = busy || has_statements (pool);
     }
   send_report (p, now);
   gm_gauge (GM_M_queue_length, queued);
-  return G_SOURCE_CONTINUE;
+  p->timer = 0;
+  if (g_hash_table_size (p->pools) > 0)
+    schedule_tick (p, now + (busy ? TICK_MS : IDLE_TICK_MS) * GM_MS);
+  return G_SOURCE_REMOVE;
 }
 
 /* Answers statement M with an error, without a pool.  */
@@ -664,6 +702,7 @@
   request->owner = GSIZE_TO_POINTER (number);
   pl_submit (pool->core, pool_now (pool), request);
   pump (pool);
+  wake (p);
   return TRUE;
 }
 
@@ -721,7 +760,7 @@
 pools_free (DaemonTask *task)
 {
   Pools *p = (Pools *)task;
-  g_source_remove (p->timer);
+  g_clear_handle_id (&p->timer, g_source_remove);
   g_hash_table_unref (p->pools);
   g_free (p);
 }
@@ -742,7 +781,6 @@
   p->open = open;
   p->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                     (GDestroyNotify)pool_free);
-  p->timer = g_timeout_add (TICK_MS, tick, p);
   daemon_add (daemon, &p->task);
   return p;
 }
--- a/daemon/subscription.c
+++ b/daemon/subscription.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define TICK_MS 20
+/* Between ticks while the copy is current: a tenth of SB_STAMP_TIMEOUT.  */
+#define CALM_TICK_MS 50
 #define REQUEST_TIMEOUT (4 * GM_SECOND)
 
 /* A request that the leader has not answered yet.  */
@@ -273,7 +275,10 @@
   if (sb_heartbeat_due (s->core, now))
     subscription_heartbeat (s);
   gm_gauge (GM_M_control_stamp_age_ms, (guint64)(age / GM_MS));
-  return G_SOURCE_CONTINUE;
+  gboolean calm
+      = age < SB_STAMP_TIMEOUT && g_hash_table_size (s->pending) == 0;
+  s->timer = g_timeout_add (calm ? CALM_TICK_MS : TICK_MS, tick, s);
+  return G_SOURCE_REMOVE;
 }
 
 static void
--- a/lib/session/liveness.c
+++ b/lib/session/liveness.c
@@ -110,6 +110,18 @@
   return FALSE;
 }
 
+gboolean
+lv_is_waiting (const LvCore *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, core->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const Host *)value)->waiting_since != 0)
+      return TRUE;
+  return FALSE;
+}
+
 gboolean
 lv_is_silent (const LvCore *core, const char *name)
 {
--- a/lib/session/liveness.h
+++ b/lib/session/liveness.h
@@ -47,4 +47,6 @@
 void lv_stalled (LvCore *core, GmTime span);
 /* Takes the next event due at NOW.  FALSE when there is none.  */
 gboolean lv_next (LvCore *core, GmTime now, LvEvent *event);
+/* Whether any host owes an answer, so that lv_next may have events later.  */
+gboolean lv_is_waiting (const LvCore *core);
 gboolean lv_is_silent (const LvCore *core, const char *host);
--- a/lib/wire/stream.c
+++ b/lib/wire/stream.c
@@ -1,5 +1,7 @@
 #include "stream.h"
 #include "base/event.h"
+#include "poller.h"
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -17,31 +19,20 @@
   gpointer owner;
   gboolean connecting;
   gboolean finishing;
-  GSource *reader;
-  GSource *writer;
+  NpWatch *watch;
   guint timer;
   GByteArray *unsent;
-  char *connect_error; /* reported on the next iteration of the main context */
+  char *start_error; /* reported on the next iteration of the main context */
 };
 
 struct NsListener
 {
   GSocket *socket;
-  GSource *source;
+  NpWatch *watch;
   NsAccept accept;
   gpointer owner;
 };
 
-static void
-clear_source (GSource **source)
-{
-  if (*source == NULL)
-    return;
-  g_source_destroy (*source);
-  g_source_unref (*source);
-  *source = NULL;
-}
-
 /* Adds CHANGE, which may be negative, to the unsent bytes of all
    connections.  */
 static void
@@ -56,15 +47,14 @@
 {
   if (stream == NULL)
     return;
-  clear_source (&stream->reader);
-  clear_source (&stream->writer);
+  np_unwatch (stream->watch);
   g_clear_handle_id (&stream->timer, g_source_remove);
   if (stream->socket != NULL)
     g_socket_close (stream->socket, NULL);
   g_clear_object (&stream->socket);
   add_unsent_bytes (-(gssize)stream->unsent->len);
   g_byte_array_unref (stream->unsent);
-  g_free (stream->connect_error);
+  g_free (stream->start_error);
   g_free (stream);
 }
 
@@ -85,115 +75,116 @@
   ns_close (stream);
 }
 
-static gboolean
-on_readable (GSocket *socket, GIOCondition condition, gpointer data)
+/* Reads and handles what has arrived.  The stream may be freed.  */
+static void
+read_available (NsStream *stream)
 {
-  (void)condition;
-  NsStream *stream = data;
   char buffer[READ_BUFFER_BYTES];
-  g_autoptr (GError) error = NULL;
-  gssize got = g_socket_receive (socket, buffer, sizeof buffer, NULL, &error);
-  if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-    return G_SOURCE_CONTINUE;
-  if (got > 0)
+  ssize_t got
+      = recv (g_socket_get_fd (stream->socket), buffer, sizeof buffer, 0);
+  if (got < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (got <= 0)
     {
-      gm_count (GM_M_bytes_in_total, (guint64)got);
-      if (!stream->finishing)
-        stream->handler->data (stream, buffer, (gsize)got, stream->owner);
-      return G_SOURCE_CONTINUE;
+      stream_fail (stream,
+                   got < 0 ? g_strerror (errno) : "closed by the peer");
+      return;
     }
-  stream_fail (stream, error != NULL ? error->message : "closed by the peer");
-  return G_SOURCE_REMOVE;
+  gm_count (GM_M_bytes_in_total, (guint64)got);
+  if (!stream->finishing)
+    stream->handler->data (stream, buffer, (gsize)got, stream->owner);
+}
+
+/* Sends as many of the LENGTH bytes at DATA as the socket takes, and stores
+   their number in SENT.  FALSE if the connection has failed.  */
+static gboolean
+send_available (NsStream *stream, const char *data, gsize length, gsize *sent)
+{
+  int fd = g_socket_get_fd (stream->socket);
+  *sent = 0;
+  while (*sent < length)
+    {
+      ssize_t n = send (fd, data + *sent, length - *sent, MSG_NOSIGNAL);
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0)
+        return errno == EAGAIN;
+      gm_count (GM_M_bytes_out_total, (guint64)n);
+      *sent += (gsize)n;
+    }
+  return TRUE;
 }
 
 static void
-start_reading (NsStream *stream)
+update_events (NsStream *stream)
 {
-  stream->reader = g_socket_create_source (stream->socket, G_IO_IN, NULL);
-  g_source_set_callback (stream->reader, G_SOURCE_FUNC (on_readable), stream,
-                         NULL);
-  g_source_attach (stream->reader, NULL);
+  guint reading = stream->connecting ? 0 : EPOLLIN;
+  guint writing = stream->connecting || stream->unsent->len > 0 ? EPOLLOUT : 0;
+  np_set_events (stream->watch, reading | writing);
 }
 
-/* Sends as many unsent bytes as the socket takes.  FALSE if the connection has
-   failed.  */
+/* Sends queued bytes.  Returns FALSE if the stream was freed.  */
 static gboolean
 flush (NsStream *stream)
 {
-  g_autoptr (GError) error = NULL;
-  while (stream->unsent->len > 0)
+  gsize sent;
+  gboolean good = send_available (stream, (const char *)stream->unsent->data,
+                                  stream->unsent->len, &sent);
+  g_byte_array_remove_range (stream->unsent, 0, (guint)sent);
+  add_unsent_bytes (-(gssize)sent);
+  if (!good)
+    stream_fail (stream, "sending failed");
+  else if (stream->unsent->len == 0 && stream->finishing)
+    ns_close (stream);
+  else
     {
-      gssize sent
-          = g_socket_send (stream->socket, (const char *)stream->unsent->data,
-                           stream->unsent->len, NULL, &error);
-      if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-        return TRUE;
-      if (sent <= 0)
-        return FALSE;
-      gm_count (GM_M_bytes_out_total, (guint64)sent);
-      add_unsent_bytes (-sent);
-      g_byte_array_remove_range (stream->unsent, 0, (guint)sent);
+      update_events (stream);
+      return TRUE;
     }
-  return TRUE;
+  return FALSE;
 }
 
-static gboolean
-on_writable (GSocket *socket, GIOCondition condition, gpointer data)
+static void
+finish_connecting (NsStream *stream)
 {
-  (void)condition;
-  NsStream *stream = data;
   g_autoptr (GError) error = NULL;
-  if (stream->connecting && !g_socket_check_connect_result (socket, &error))
+  if (!g_socket_check_connect_result (stream->socket, &error))
     {
       stream_fail (stream, error->message);
-      return G_SOURCE_REMOVE;
-    }
-  if (stream->connecting)
-    {
-      stream->connecting = FALSE;
-      g_clear_handle_id (&stream->timer, g_source_remove);
-      start_reading (stream);
-      clear_source (&stream->writer);
-      stream->handler->connected (stream, stream->owner);
-      return G_SOURCE_REMOVE;
-    }
-  if (!flush (stream))
-    {
-      stream_fail (stream, "sending failed");
-      return G_SOURCE_REMOVE;
+      return;
     }
-  if (stream->unsent->len > 0)
-    return G_SOURCE_CONTINUE;
-  if (stream->finishing)
-    ns_close (stream);
-  else
-    clear_source (&stream->writer);
-  return G_SOURCE_REMOVE;
+  stream->connecting = FALSE;
+  g_clear_handle_id (&stream->timer, g_source_remove);
+  update_events (stream);
+  stream->handler->connected (stream, stream->owner);
 }
 
 static void
-start_writing (NsStream *stream)
+on_ready (gpointer owner, guint events)
 {
-  if (stream->writer != NULL)
-    return;
-  stream->writer = g_socket_create_source (stream->socket, G_IO_OUT, NULL);
-  g_source_set_callback (stream->writer, G_SOURCE_FUNC (on_writable), stream,
-                         NULL);
-  g_source_attach (stream->writer, NULL);
+  NsStream *stream = owner;
+  if (stream->connecting)
+    finish_connecting (stream);
+  else if (((events & EPOLLOUT) == 0 || flush (stream))
+           && (events & ~(guint)EPOLLOUT) != 0)
+    read_available (stream);
 }
 
 void
 ns_write (NsStream *stream, const void *data, gsize length)
 {
+  gsize sent = 0;
   if (stream->finishing)
     return;
-  gboolean idle = stream->unsent->len == 0 && !stream->connecting;
-  g_byte_array_append (stream->unsent, data, (guint)length);
-  add_unsent_bytes ((gssize)length);
-  if (idle)
-    flush (stream);
-  if (stream->unsent->len > 0)
-    start_writing (stream);
+  /* An error shows again when the rest is sent from the main context.  */
+  if (stream->unsent->len == 0 && !stream->connecting)
+    send_available (stream, data, length, &sent);
+  if (sent == length)
+    return;
+  g_byte_array_append (stream->unsent, (const guint8 *)data + sent,
+                       (guint)(length - sent));
+  add_unsent_bytes ((gssize)(length - sent));
+  update_events (stream);
 }
 
 gsize
@@ -220,7 +211,7 @@
       ns_close (stream);
       return;
     }
-  start_writing (stream);
+  update_events (stream);
   g_clear_handle_id (&stream->timer, g_source_remove);
   stream->timer = g_timeout_add (FINISH_TIMEOUT_MS, on_finish_timeout, stream);
 }
@@ -244,25 +235,37 @@
   return stream;
 }
 
+static gboolean
+on_start_timeout (gpointer data)
+{
+  NsStream *stream = data;
+  stream->timer = 0;
+  stream_fail (stream, stream->start_error != NULL ? stream->start_error
+                                                   : "connect timed out");
+  return G_SOURCE_REMOVE;
+}
+
+static void
+start_watching (NsStream *stream)
+{
+  stream->watch
+      = np_watch (g_socket_get_fd (stream->socket),
+                  stream->connecting ? EPOLLOUT : EPOLLIN, on_ready, stream);
+  if (stream->watch == NULL)
+    stream->start_error = g_strdup ("the system can't watch the socket");
+}
+
 NsStream *
 ns_accepted (GSocket *socket, guint user_timeout_ms, const NsHandler *handler,
              gpointer owner)
 {
   NsStream *stream = stream_new (socket, user_timeout_ms, handler, owner);
-  start_reading (stream);
+  start_watching (stream);
+  if (stream->start_error != NULL)
+    stream->timer = g_timeout_add (0, on_start_timeout, stream);
   return stream;
 }
 
-static gboolean
-on_connect_timeout (gpointer data)
-{
-  NsStream *stream = data;
-  stream->timer = 0;
-  stream_fail (stream, stream->connect_error != NULL ? stream->connect_error
-                                                     : "connect timed out");
-  return G_SOURCE_REMOVE;
-}
-
 NsStream *
 ns_connect (const CfAddress *address, guint user_timeout_ms,
             const NsHandler *handler, gpointer owner)
@@ -279,23 +282,23 @@
         && (g_socket_connect (socket, to, NULL, &error)
             || g_error_matches (error, G_IO_ERROR, G_IO_ERROR_PENDING));
   if (started)
-    start_writing (stream);
+    start_watching (stream);
   else
-    stream->connect_error = g_strdup (error->message);
-  stream->timer = g_timeout_add (started ? CONNECT_TIMEOUT_MS : 0,
-                                 on_connect_timeout, stream);
+    stream->start_error = g_strdup (error->message);
+  stream->timer
+      = g_timeout_add (stream->start_error == NULL ? CONNECT_TIMEOUT_MS : 0,
+                       on_start_timeout, stream);
   return stream;
 }
 
-static gboolean
-on_acceptable (GSocket *socket, GIOCondition condition, gpointer data)
+static void
+on_acceptable (gpointer owner, guint events)
 {
-  (void)condition;
-  NsListener *listener = data;
-  GSocket *accepted = g_socket_accept (socket, NULL, NULL);
+  (void)events;
+  const NsListener *listener = owner;
+  GSocket *accepted = g_socket_accept (listener->socket, NULL, NULL);
   if (accepted != NULL)
     listener->accept (accepted, listener->owner);
-  return G_SOURCE_CONTINUE;
 }
 
 NsListener *
@@ -325,10 +328,15 @@
   listener->socket = socket;
   listener->accept = accept;
   listener->owner = owner;
-  listener->source = g_socket_create_source (socket, G_IO_IN, NULL);
-  g_source_set_callback (listener->source, G_SOURCE_FUNC (on_acceptable),
-                         listener, NULL);
-  g_source_attach (listener->source, NULL);
+  listener->watch
+      = np_watch (g_socket_get_fd (socket), EPOLLIN, on_acceptable, listener);
+  if (listener->watch == NULL)
+    {
+      gm_fail (status, GM_IO, "%s:%u: the system can't watch the socket",
+               address->ip, address->port);
+      ns_listener_free (listener);
+      return NULL;
+    }
   return listener;
 }
 
@@ -337,7 +345,7 @@
 {
   if (listener == NULL)
     return;
-  clear_source (&listener->source);
+  np_unwatch (listener->watch);
   g_socket_close (listener->socket, NULL);
   g_object_unref (listener->socket);
   g_free (listener);
