Databases that left stay gone; odd heartbeats are refused alone

Cause: a new control leader knew no sequence numbers, so a late heartbeat of a database that was leaving made it ready again, and one of a database that had deregistered brought it back. json-c turns a number beyond 64 bits into the largest it knows: such a sequence or start time was taken, and no later one could exceed it, so the database was followed no more. Port 0 and a start time of another type were taken. A body of 2 MB of small numbers takes more memory than a control host has.

Ruled out: deep nesting (bounded at 16 before any recursion), ports above 65535 or negative (refused by the address parser), duplicates.

--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -165,6 +165,9 @@
             "%s of %s", command->cmd_database.id, command->cmd_database.group);
   else if (command->type == WM_TYPE_CMD_DATABASE_DOWN)
     gm_log (GM_EV_DATABASE_DOWN, "%s", command->cmd_database_down.id);
+  else if (command->type == WM_TYPE_CMD_DATABASE_LEFT)
+    gm_log (GM_EV_DATABASE_DOWN, "%s: has left",
+            command->cmd_database_left.id);
   else if (command->type == WM_TYPE_CMD_TERM)
     gm_log (GM_EV_FAILOVER, "%s: term %u: %s", command->cmd_term.group,
             (guint)command->cmd_term.term, command->cmd_term.reason);
@@ -485,6 +488,7 @@
         to_heartbeat (core->takeover, now, &m->cmd_database);
       break;
     case WM_TYPE_CMD_DATABASE_DOWN:
+    case WM_TYPE_CMD_DATABASE_LEFT:
       if (core->is_leader)
         {
           g_autoptr (GBytes) block = wm_encode (m);
--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -39,6 +39,13 @@
   g_free (((CsHistory *)data)->digest);
 }
 
+static void
+left_free (CsLeft *left)
+{
+  g_free (left->id);
+  g_free (left);
+}
+
 static void
 audit_free (CsAudit *audit)
 {
@@ -68,6 +75,7 @@
   state->history = g_array_new (FALSE, TRUE, sizeof (CsHistory));
   g_array_set_clear_func (state->history, history_clear);
   g_queue_init (&state->audit);
+  g_queue_init (&state->left);
   return state;
 }
 
@@ -86,6 +94,7 @@
   g_hash_table_unref (state->dispatchers);
   g_array_unref (state->history);
   g_queue_clear_full (&state->audit, (GDestroyNotify)audit_free);
+  g_queue_clear_full (&state->left, (GDestroyNotify)left_free);
   g_free (state);
 }
 
@@ -335,6 +344,8 @@
   const CsDatabase *old = g_hash_table_lookup (state->databases, c->id);
   if (old != NULL && old->incarnation > c->incarnation)
     return gm_fail (outcome, GM_CONFLICT, "%s has a newer incarnation", c->id);
+  if (cs_has_left (state, c->id, c->incarnation))
+    return gm_fail (outcome, GM_CONFLICT, "%s has left", c->id);
   CsDatabase *database = g_new0 (CsDatabase, 1);
   database->id = g_strdup (c->id);
   database->group = g_strdup (c->group);
@@ -364,6 +375,36 @@
   return gm_ok (outcome);
 }
 
+gboolean
+cs_has_left (const CsState *state, const char *id, guint64 incarnation)
+{
+  for (const GList *l = state->left.head; l != NULL; l = l->next)
+    {
+      const CsLeft *left = l->data;
+      if (left->incarnation >= incarnation && strcmp (left->id, id) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static GmKind
+apply_database_left (CsState *state, const struct wm_cmd_database_left *c,
+                     GmStatus *outcome)
+{
+  const CsDatabase *old = g_hash_table_lookup (state->databases, c->id);
+  if (old != NULL && old->incarnation > c->incarnation)
+    return gm_fail (outcome, GM_CONFLICT, "%s has a newer incarnation", c->id);
+  g_hash_table_remove (state->databases, c->id);
+  g_clear_pointer (&state->queue_holders, g_hash_table_unref);
+  CsLeft *left = g_new0 (CsLeft, 1);
+  left->id = g_strdup (c->id);
+  left->incarnation = c->incarnation;
+  g_queue_push_tail (&state->left, left);
+  if (state->left.length > CS_LEFT_MAX)
+    left_free (g_queue_pop_head (&state->left));
+  return gm_ok (outcome);
+}
+
 static GmKind
 apply_term (CsState *state, const struct wm_cmd_term *c, GmStatus *outcome)
 {
@@ -446,6 +487,8 @@
       return apply_database (state, &command->cmd_database, outcome);
     case WM_TYPE_CMD_DATABASE_DOWN:
       return apply_database_down (state, &command->cmd_database_down, outcome);
+    case WM_TYPE_CMD_DATABASE_LEFT:
+      return apply_database_left (state, &command->cmd_database_left, outcome);
     case WM_TYPE_CMD_TERM:
       return apply_term (state, &command->cmd_term, outcome);
     case WM_TYPE_CMD_PRIMARY:
@@ -517,6 +560,19 @@
     }
 }
 
+static void
+encode_left (const CsState *state, GByteArray *out)
+{
+  for (const GList *l = state->left.head; l != NULL; l = l->next)
+    {
+      const CsLeft *left = l->data;
+      WmMessage m = { .type = WM_TYPE_CMD_DATABASE_LEFT,
+                      .cmd_database_left
+                      = { .id = left->id, .incarnation = left->incarnation } };
+      wm_append (out, &m);
+    }
+}
+
 static void
 encode_groups (const CsState *state, GByteArray *out)
 {
@@ -578,6 +634,7 @@
   encode_groups (state, out);
   encode_hosts (state, out);
   encode_databases (state, out);
+  encode_left (state, out);
   encode_history (state, out);
   return g_byte_array_free_to_bytes (out);
 }
@@ -634,6 +691,8 @@
     apply_host (state, &m->cmd_host, NULL);
   else if (m->type == WM_TYPE_CMD_DATABASE)
     apply_database (state, &m->cmd_database, NULL);
+  else if (m->type == WM_TYPE_CMD_DATABASE_LEFT)
+    apply_database_left (state, &m->cmd_database_left, NULL);
   else
     return FALSE;
   return TRUE;
--- a/lib/cstate/cstate.h
+++ b/lib/cstate/cstate.h
@@ -9,6 +9,9 @@
 #include "wire/message.h"
 
 #define CS_AUDIT_MAX 5000 /* audit records; older ones are dropped */
+/* Databases that have left; older ones are dropped.  A heartbeat is late by
+   seconds, in which fewer databases leave.  */
+#define CS_LEFT_MAX 256
 
 /* Roles of a host, as bits.  */
 enum
@@ -65,6 +68,13 @@
   guint64 version;
 } CsHistory;
 
+/* A database that has left for good.  */
+typedef struct
+{
+  char *id;
+  guint64 incarnation;
+} CsLeft;
+
 /* A record of the audit trail.  */
 typedef struct
 {
@@ -89,6 +99,7 @@
   GHashTable *groups;        /* group -> CsGroup */
   GArray *history;           /* CsHistory, by number */
   GQueue audit;              /* CsAudit *, oldest first */
+  GQueue left;               /* CsLeft *, oldest first */
   GHashTable *dispatchers;   /* group -> CsHost; cleared when hosts change */
   GHashTable *queue_holders; /* database id -> GPtrArray of CsHost, or NULL */
 } CsState;
@@ -125,6 +136,9 @@
 /* Returns the digest of a declaration's text; free it with g_free.  */
 char *cs_digest (const void *text, gsize length);
 /* Returns the record of GROUP, or NULL.  */
+/* Whether the database ID has left, in INCARNATION or a later one.  */
+gboolean cs_has_left (const CsState *state, const char *id,
+                      guint64 incarnation);
 const CsGroup *cs_group (const CsState *state, const char *group);
 /* Returns how many databases GROUP is declared to have.  */
 guint cs_database_count (const CsState *state, const char *group);
--- a/lib/failover/members.c
+++ b/lib/failover/members.c
@@ -144,6 +144,13 @@
       = g_hash_table_lookup (state->databases, announced->id);
   if (known != NULL && known->incarnation > announced->incarnation)
     return;
+  /* Drop an announcement that is older than the committed one: a new leader
+     has received none itself.  */
+  if (known != NULL && known->incarnation == announced->incarnation
+      && announced->sequence != 0 && announced->sequence < known->sequence)
+    return;
+  if (cs_has_left (state, announced->id, announced->incarnation))
+    return;
   const Heartbeat *last = g_hash_table_lookup (core->databases, announced->id);
   /* Drop an announcement that arrives after a newer one.  */
   if (last != NULL && announced->sequence != 0
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -146,6 +146,10 @@
   U (leaving) U (incarnation) U (term) U (primary) U (sequence)
 #define WM_CMD_DATABASE_DOWN(U, S, B) \
   S (id) U (incarnation)
+/* The database has left for good: heartbeats of this incarnation that come late
+   are refused.  */
+#define WM_CMD_DATABASE_LEFT(U, S, B) \
+  S (id) U (incarnation)
 #define WM_CMD_TERM(U, S, B) \
   S (group) U (term) S (reason) U (when)
 #define WM_CMD_PRIMARY(U, S, B) \
@@ -204,6 +208,7 @@
   M (CMD_HOST_DOWN, cmd_host_down)                                            \
   M (CMD_DATABASE, cmd_database)                                              \
   M (CMD_DATABASE_DOWN, cmd_database_down)                                    \
+  M (CMD_DATABASE_LEFT, cmd_database_left)                                    \
   M (CMD_TERM, cmd_term)                                                      \
   M (CMD_PRIMARY, cmd_primary)                                                \
   M (CMD_PROMOTED, cmd_promoted)                                              \
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -391,6 +391,12 @@
   "\"capacity\":2,\"state\":\"ready\",\"dbRole\":\"replica\",\"sequence\":4," \
   "\"born\":1700,\"" field "\":" value "}"
 
+#define ENTRY(address, capacity, sequence, born)                              \
+  "{\"serviceName\":\"s\",\"address\":\"" address "\",\"zone\":\"z\","        \
+  "\"capacity\":" capacity ",\"state\":\"ready\",\"dbRole\":\"replica\","     \
+  "\"sequence\":" sequence ",\"born\":" born "}"
+
+/* Odd entries of other writers are refused alone.  */
 static const struct
 {
   const char *text;
@@ -410,6 +416,26 @@
   { "{\"serviceName\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
     "\"state\":\"ready\",\"dbRole\":\"replica\",\"capacity\":\"2\"}",
     "capacity" },
+  { ENTRY ("10.0.0.9:0", "2", "4", "1700"), "address" },
+  { ENTRY ("10.0.0.9", "2", "4", "1700"), "address" },
+  { ENTRY ("10.0.0.9:65536", "2", "4", "1700"), "address" },
+  { ENTRY ("10.0.0.9:-1", "2", "4", "1700"), "address" },
+  { ENTRY ("10.0.0.9:99999999999", "2", "4", "1700"), "address" },
+  { ENTRY ("10.0.0.9:80", "99999999999999999999999", "4", "1700"),
+    "capacity" },
+  { ENTRY ("10.0.0.9:80", "1e400", "4", "1700"), "capacity" },
+  { ENTRY ("10.0.0.9:80", "-2", "4", "1700"), "capacity" },
+  { ENTRY ("10.0.0.9:80", "2", "9223372036854775807", "1700"), "sequence" },
+  { ENTRY ("10.0.0.9:80", "2", "99999999999999999999999", "1700"),
+    "sequence" },
+  { ENTRY ("10.0.0.9:80", "2", "4", "99999999999999999999999"), "born" },
+  { ENTRY ("10.0.0.9:80", "2", "4", "-1"), "born" },
+  { ENTRY ("10.0.0.9:80", "2", "4", "\"1700\""), "born" },
+  { ENTRY ("10.0.0.9:80", "2", "4", "1700.5"), "born" },
+  { HEARTBEAT ("version", "3"), "version" },
+  { HEARTBEAT ("coldRemainingMs", "[]"), "coldRemainingMs" },
+  { HEARTBEAT ("more", "[[[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]]]"),
+    "nested" },
 };
 
 static CfDeclaration *
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -3,6 +3,7 @@
 #include "clog/clog.h"
 #include "control/subscriber.h"
 #include "dispatch/group.h"
+#include "failover/members.h"
 #include <string.h>
 
 #define START (100 * GM_SECOND)
@@ -365,6 +366,91 @@
   add_database_with_slots (state, id, data_centre, 2);
 }
 
+/* Heartbeats that reach a new leader late, after a database announced that it
+   is leaving with sequence 9 in incarnation 5, or has left.  */
+static const struct
+{
+  gboolean has_left;
+  guint64 incarnation;
+  guint64 sequence;
+  gboolean ready; /* the heartbeat says so */
+  gboolean taken;
+} late_heartbeats[] = {
+  { FALSE, 5, 8, TRUE, FALSE },  { FALSE, 5, 10, TRUE, TRUE },
+  { FALSE, 4, 99, TRUE, FALSE }, { FALSE, 6, 1, TRUE, TRUE },
+  { TRUE, 5, 8, TRUE, FALSE },   { TRUE, 5, 10, TRUE, FALSE },
+  { TRUE, 5, 10, FALSE, FALSE }, { TRUE, 4, 99, TRUE, FALSE },
+  { TRUE, 6, 1, TRUE, TRUE },
+};
+
+static WmMessage
+heartbeat (guint64 incarnation, guint64 sequence, gboolean ready)
+{
+  return (WmMessage){ .type = WM_TYPE_CMD_DATABASE,
+                      .cmd_database = { .id = (char *)"d",
+                                        .group = (char *)"g",
+                                        .address = (char *)"",
+                                        .data_centre = (char *)"",
+                                        .slots = 2,
+                                        .incarnation = incarnation,
+                                        .leaving = ready ? 0 : 1,
+                                        .sequence = sequence } };
+}
+
+static void
+test_late_heartbeats (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (late_heartbeats); i++)
+    {
+      g_autoptr (CsState) old = cs_new ();
+      WmMessage leaving = heartbeat (5, 9, FALSE);
+      WmMessage left
+          = { .type = WM_TYPE_CMD_DATABASE_LEFT,
+              .cmd_database_left = { .id = (char *)"d", .incarnation = 5 } };
+      cs_apply (old, 1, &leaving, NULL);
+      if (late_heartbeats[i].has_left)
+        cs_apply (old, 2, &left, NULL);
+      /* The new leader has restarted from a snapshot.  */
+      g_autoptr (GBytes) block = cs_encode (old);
+      g_autoptr (CsState) state = cs_decode (old->version, block);
+      MbCore *members = mb_new ();
+      WmMessage late
+          = heartbeat (late_heartbeats[i].incarnation,
+                       late_heartbeats[i].sequence, late_heartbeats[i].ready);
+      WmMessage command;
+      mb_lead (members, START, state);
+      mb_database_heartbeat (members, START + GM_MS, state,
+                             &late.cmd_database);
+      gboolean taken = mb_take_command (members, &command);
+      g_assert_cmpint (taken, ==, late_heartbeats[i].taken);
+      /* Another leader may have committed it meanwhile.  */
+      if (late_heartbeats[i].has_left)
+        g_assert_cmpint (cs_apply (state, state->version + 1, &late, NULL)
+                             == GM_OK,
+                         ==, late_heartbeats[i].taken);
+      if (taken)
+        wm_clear (&command);
+      mb_free (members);
+    }
+}
+
+/* No more than CS_LEFT_MAX databases that have left are kept.  */
+static void
+test_left_bound (void)
+{
+  g_autoptr (CsState) state = cs_new ();
+  for (guint i = 0; i <= CS_LEFT_MAX; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("d%u", i);
+      WmMessage left = { .type = WM_TYPE_CMD_DATABASE_LEFT,
+                         .cmd_database_left = { .id = id, .incarnation = 5 } };
+      cs_apply (state, i + 1, &left, NULL);
+    }
+  g_assert_cmpuint (state->left.length, ==, CS_LEFT_MAX);
+  g_assert_false (cs_has_left (state, "d0", 5));
+  g_assert_true (cs_has_left (state, "d1", 5));
+}
+
 /* The queues of four databases are held evenly, in the databases' own data
    centres, and always by some host.  */
 static void
@@ -455,6 +541,8 @@
   g_test_add_func ("/state/check", test_request_check);
   g_test_add_func ("/state/stall", test_stall);
   g_test_add_func ("/state/highest", test_highest_wins);
+  g_test_add_func ("/state/late-heartbeats", test_late_heartbeats);
+  g_test_add_func ("/state/left-bound", test_left_bound);
   g_test_add_func ("/state/pools", test_queue_holders);
   g_test_add_func ("/state/shares", test_shares);
   g_test_add_func ("/state/read-on-demand", test_parse_on_demand);
