Queue holders are found without hashing each name for each share

Cause: each change of a host makes every host choose the holders of all queues anew: 240 shares, each over 60 hosts of its data centre, two string hashes and two look-ups a pair.

Ruled out: keeping the choice until it is asked for (it is; the pools ask on every change).

Change: a name is hashed once a change, the pair's weight is mixed from both hashes; shares and the last queue are counted in the candidate itself.

--- a/lib/cstate/owner.c
+++ b/lib/cstate/owner.c
@@ -49,11 +49,20 @@
   return owner;
 }
 
+/* A host that can hold shares.  */
+typedef struct
+{
+  const CsHost *host;
+  guint64 hash;     /* of the host's name */
+  guint shares;     /* assigned to it so far */
+  guint last_queue; /* number of the last queue that it holds a share of */
+} Candidate;
+
 /* The hosts with the pool role in a data centre, and the number of queue
    shares to divide among them.  */
 typedef struct
 {
-  GPtrArray *hosts;  /* const CsHost * */
+  GPtrArray *hosts;  /* Candidate *, not owned */
   guint64 link_rate; /* the lowest known; 0: none is known */
   guint shares;      /* of the queues of all databases there */
 } DataCentre;
@@ -80,17 +89,19 @@
 }
 
 static void
-add_host (DataCentre *centre, const CsHost *host)
+add_host (DataCentre *centre, Candidate *candidate)
 {
-  g_ptr_array_add (centre->hosts, (gpointer)host);
-  if (host->link_rate != 0
-      && (centre->link_rate == 0 || host->link_rate < centre->link_rate))
-    centre->link_rate = host->link_rate;
+  guint64 link_rate = candidate->host->link_rate;
+  g_ptr_array_add (centre->hosts, candidate);
+  if (link_rate != 0
+      && (centre->link_rate == 0 || link_rate < centre->link_rate))
+    centre->link_rate = link_rate;
 }
 
-/* Returns the data centres by name; "" stands for all of them together.  */
+/* Returns the data centres by name; "" stands for all of them together.  Adds
+   their hosts to CANDIDATES, which owns them.  */
 static GHashTable *
-group_hosts (const CsState *state)
+group_hosts (const CsState *state, GPtrArray *candidates)
 {
   GHashTable *centres = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                                data_centre_free);
@@ -102,8 +113,12 @@
       const CsHost *host = value;
       if ((host->roles & CS_POOL) == 0)
         continue;
-      add_host (data_centre_get (centres, host->data_centre), host);
-      add_host (data_centre_get (centres, ""), host);
+      Candidate *candidate = g_new0 (Candidate, 1);
+      candidate->host = host;
+      candidate->hash = gm_hash (host->host, strlen (host->host), 0);
+      g_ptr_array_add (candidates, candidate);
+      add_host (data_centre_get (centres, host->data_centre), candidate);
+      add_host (data_centre_get (centres, ""), candidate);
     }
   return centres;
 }
@@ -133,28 +148,47 @@
   return (guint)CLAMP (wanted, 1, MAX (shares_max, 1));
 }
 
-/* Returns the host of CENTRE with the highest rendezvous hash under SEED that
-   holds fewer than SHARES_MAX shares and is not in HOLDERS; or NULL.
-   SHARES_HELD counts the shares assigned to each host so far.  */
-static const CsHost *
+/* The rendezvous weight of CANDIDATE under SEED: the finalizer of splitmix64
+   over both, so that a name is hashed once and not for each share.  */
+static guint64
+weight_of (const Candidate *candidate, guint64 seed)
+{
+  guint64 x = candidate->hash ^ seed;
+  x = (x ^ (x >> 30)) * G_GUINT64_CONSTANT (0xbf58476d1ce4e5b9);
+  x = (x ^ (x >> 27)) * G_GUINT64_CONSTANT (0x94d049bb133111eb);
+  return x ^ (x >> 31);
+}
+
+/* Returns the host of CENTRE with the highest weight under SEED that holds
+   fewer than SHARES_MAX shares and none of QUEUE; or NULL.  */
+static Candidate *
 choose_holder (const DataCentre *centre, guint64 seed, guint shares_max,
-               const GPtrArray *holders, GHashTable *shares_held)
+               guint queue)
 {
-  const CsHost *best = NULL;
+  Candidate *best = NULL;
+  guint64 best_weight = 0;
   for (guint i = 0; i < centre->hosts->len; i++)
     {
-      const CsHost *host = g_ptr_array_index (centre->hosts, i);
-      guint has = GPOINTER_TO_UINT (g_hash_table_lookup (shares_held, host));
-      if (has < shares_max
-          && !g_ptr_array_find ((GPtrArray *)holders, host, NULL))
-        best = higher_weight (host, best, seed);
+      Candidate *c = g_ptr_array_index (centre->hosts, i);
+      if (c->shares >= shares_max || c->last_queue == queue)
+        continue;
+      guint64 weight = weight_of (c, seed);
+      if (best == NULL || weight > best_weight
+          || (weight == best_weight
+              && strcmp (c->host->host, best->host->host) < 0))
+        {
+          best = c;
+          best_weight = weight;
+        }
     }
   return best;
 }
 
+/* Chooses the holders of the shares of DATABASE's queue, the QUEUE-th from
+   1.  */
 static GPtrArray *
 choose_holders (const DataCentre *centre, const CsDatabase *database,
-                GHashTable *shares_held)
+                guint queue)
 {
   GPtrArray *holders = g_ptr_array_new ();
   guint hosts = centre->hosts->len;
@@ -163,16 +197,14 @@
   for (guint i = 0; i < shares; i++)
     {
       guint64 seed = gm_hash (database->id, strlen (database->id), i);
-      const CsHost *best = choose_holder (centre, seed, shares_per_host,
-                                          holders, shares_held);
+      Candidate *best = choose_holder (centre, seed, shares_per_host, queue);
       /* Databases of a data centre without hosts may have used up the even
          part.  */
       if (best == NULL)
-        best = choose_holder (centre, seed, G_MAXUINT, holders, shares_held);
-      guint has = GPOINTER_TO_UINT (g_hash_table_lookup (shares_held, best));
-      g_hash_table_insert (shares_held, (gpointer)best,
-                           GUINT_TO_POINTER (has + 1));
-      g_ptr_array_add (holders, (gpointer)best);
+        best = choose_holder (centre, seed, G_MAXUINT, queue);
+      best->shares++;
+      best->last_queue = queue;
+      g_ptr_array_add (holders, (gpointer)best->host);
     }
   return holders;
 }
@@ -182,11 +214,12 @@
 {
   GHashTable *pools = g_hash_table_new_full (
       g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
-  g_autoptr (GHashTable) shares_held = g_hash_table_new (NULL, NULL);
-  g_autoptr (GHashTable) centres = group_hosts (state);
+  g_autoptr (GPtrArray) candidates = g_ptr_array_new_with_free_func (g_free);
+  g_autoptr (GHashTable) centres = group_hosts (state, candidates);
   /* In the order of the ids, so that every host computes the same result.  */
   g_autoptr (GList) ids = g_list_sort (
       g_hash_table_get_keys (state->databases), (GCompareFunc)strcmp);
+  guint queue = 0;
   for (GList *l = ids; l != NULL; l = l->next)
     {
       const CsDatabase *database
@@ -200,7 +233,7 @@
           = g_hash_table_lookup (state->databases, l->data);
       g_hash_table_insert (pools, g_strdup (database->id),
                            choose_holders (data_centre_for (centres, database),
-                                           database, shares_held));
+                                           database, ++queue));
     }
   return pools;
 }
--- a/tests/measure/slopes.c
+++ b/tests/measure/slopes.c
@@ -121,6 +121,58 @@
   print_slope (wire_name, unit, 2 * unit, wire[0], wire[1]);
 }
 
+static void
+apply_pool_host (CsState *state, guint i)
+{
+  static const char *const centres[] = { "a", "b", "c", "d", "e" };
+  char name[32];
+  g_snprintf (name, sizeof name, "host%u", i);
+  WmMessage m = { .type = WM_TYPE_CMD_HOST,
+                  .cmd_host = { .host = name,
+                                .incarnation = state->version + 1,
+                                .caller = (char *)"",
+                                .link = (char *)"127.0.0.1:7000",
+                                .data_centre = (char *)centres[i % 5],
+                                .roles = CS_POOL,
+                                .link_rate = 2000000 } };
+  cs_apply (state, state->version + 1, &m, NULL);
+}
+
+/* Time in which a host finds the holders of all queues anew after a change of
+   one of HOSTS: 60 databases of four slots in three of five data centres.  */
+static double
+holders_ns (guint hosts)
+{
+  enum
+  {
+    CHANGES = 20
+  };
+  static const char *const centres[] = { "a", "b", "c" };
+  g_autoptr (CsState) state = state_of (0, 0, 20);
+  for (guint i = 0; i < hosts; i++)
+    apply_pool_host (state, i);
+  for (guint i = 0; i < 60; i++)
+    {
+      char id[32];
+      g_snprintf (id, sizeof id, "db%u", i);
+      WmMessage m = { .type = WM_TYPE_CMD_DATABASE,
+                      .cmd_database = { .id = id,
+                                        .group = (char *)"g0",
+                                        .address = (char *)"127.0.0.1:5432",
+                                        .data_centre = (char *)centres[i % 3],
+                                        .slots = 4,
+                                        .incarnation = 1 } };
+      cs_apply (state, state->version + 1, &m, NULL);
+    }
+  double start = cpu_ns ();
+  for (guint i = 0; i < CHANGES; i++)
+    {
+      apply_pool_host (state, i % hosts);
+      g_assert_nonnull (cs_queue_holders (state, "db0"));
+    }
+  return (cpu_ns () - start) / CHANGES;
+}
+
 static double
 owner_ns (guint hosts)
 {
@@ -322,6 +374,7 @@
   slope_state ("state.group_and_service", 0, 0, 900);
   print_slope ("owner_lookup.ns_per_host", 1000, 2300, owner_ns (1000),
                owner_ns (2300));
+  printf ("queue_holders.ns_at_300_hosts=%.0f\n", holders_ns (300));
   printf ("known_owner_lookup.ns=%.1f\n", known_owner_ns (2300));
   membership (1000, &beat[0], &tick[0]);
   membership (2300, &beat[1], &tick[1]);
