A busy witness keeps its connection until it answers

Cause: a question to a witness was given up after 100 ms together with its connection. A handshake takes a slot, so at a busy database it takes longer; each further one took another slot, and the primary's reads stayed refused. Refusals were also charged to their service as if they had run.

Change: the witness counts as lost after 100 ms and serves again when it answers; its connection is given up after 1.5 s, with a growing pause.

Test: /pool/busy-witness, red before (4 connections dropped in 400 ms).

--- a/lib/dispatch/queue.c
+++ b/lib/dispatch/queue.c
@@ -297,14 +297,33 @@
     }
 }
 
+/* Returns the first request that FILTER accepts, ranks in order, or NULL.  */
+static DpRequest *
+choose_by_rank (const DqQueue *queue, DqFilter filter, gpointer data)
+{
+  DpRequest *request = NULL;
+  for (int i = 0; request == NULL && i < CF_RANK_COUNT; i++)
+    request = choose_in_rank (&queue->ranks[i], filter, data);
+  return request;
+}
+
+DpRequest *
+dq_withdraw (DqQueue *queue, DqFilter filter, gpointer data)
+{
+  DpRequest *request = choose_by_rank (queue, filter, data);
+  if (request != NULL)
+    dq_remove (queue, request);
+  return request;
+}
+
 DpRequest *
 dq_take (DqQueue *queue, DqFilter filter, gpointer data)
 {
   if (queue->length == 0)
     return NULL;
   DpRequest *request = choose_by_floor (queue, filter, data);
-  for (int i = 0; request == NULL && i < CF_RANK_COUNT; i++)
-    request = choose_in_rank (&queue->ranks[i], filter, data);
+  if (request == NULL)
+    request = choose_by_rank (queue, filter, data);
   if (request == NULL)
     return NULL;
   charge (queue, request);
--- a/lib/dispatch/queue.h
+++ b/lib/dispatch/queue.h
@@ -53,6 +53,9 @@
    accepts, and charges its cost to its service and rank.  Returns NULL when
    there is none.  */
 DpRequest *dq_take (DqQueue *queue, DqFilter filter, gpointer data);
+/* Takes out a request that FILTER accepts and that is not to run: it is not
+   charged to its service.  Returns NULL when there is none.  */
+DpRequest *dq_withdraw (DqQueue *queue, DqFilter filter, gpointer data);
 /* Removes and returns a request whose deadline is before LIMIT plus its cost,
    or NULL.  Examines all requests if ALL, else only the first in time and the
    first late one of each service.  */
--- a/lib/pool/core.h
+++ b/lib/pool/core.h
@@ -39,11 +39,13 @@
 {
   char *id;
   GmTime asked_at;     /* of the question in flight; 0: none */
-  GmTime expires_at;   /* of that question */
+  GmTime waited_since; /* asked_at, without the time that this process
+                          stalled */
   GmTime confirmed_at; /* when the last answered question was asked; 0: none */
   guint64 term;        /* highest term that it has received entries of */
-  gboolean is_lost;    /* its last question got no answer */
+  gboolean is_lost;    /* its last question has got no answer in time */
   GmTime retry_at;     /* when it may be asked again while lost */
+  GmTime backoff;      /* until then, after the next loss */
 } PlWitness;
 
 struct PlCore
@@ -116,7 +118,7 @@
 GmTime pl_confirmed_at (const PlCore *core, guint64 *term);
 /* Whether enough witnesses are not lost.  */
 gboolean pl_can_confirm (const PlCore *core);
-/* Gives up questions without an answer.  */
+/* Counts witnesses that have not answered in time as lost.  */
 void pl_expire_witnesses (PlCore *core, GmTime now);
 /* This process did not run for SPAN.  */
 void pl_discount_witness_stall (PlCore *core, GmTime span);
--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -665,7 +665,7 @@
   pl_expire_witnesses (core, now);
   if (pl_can_confirm (core))
     return;
-  while ((queued = dq_take (core->queue, is_unconfirmed, core)) != NULL)
+  while ((queued = dq_withdraw (core->queue, is_unconfirmed, core)) != NULL)
     answer (core, (PlRequest *)queued, GM_UNAVAILABLE, unconfirmed_message);
 }
 
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -43,9 +43,12 @@
    reads arrive: its outcome is unknown if the database is still silent.  */
 #define PL_WRITE_PROBE_INTERVAL (1 * GM_SECOND)
 #define PL_PROBE_TIMEOUT (100 * GM_MS) /* for a read's answer */
-/* A witness that leaves a question unanswered for this long is lost: several
-   trips between data centres.  */
+/* A witness that leaves a question unanswered for this long is lost until it
+   answers: several trips between data centres.  */
 #define PL_WITNESS_TIMEOUT (100 * GM_MS)
+/* The connection to a lost witness is given up after this.  A handshake takes
+   a slot, so it waits behind the statements of a busy database.  */
+#define PL_WITNESS_DROP_AFTER (1500 * GM_MS)
 #define PL_CONNECTING_MAX 4            /* as DP_CONNECTING_MAX */
 #define PL_CONNECT_RETRY (100 * GM_MS) /* as DP_CONNECT_BACKOFF */
 #define PL_CONNECT_RETRY_MAX GM_SECOND /* as DP_CONNECT_BACKOFF_MAX */
--- a/lib/pool/witness.c
+++ b/lib/pool/witness.c
@@ -63,6 +63,7 @@
         continue;
       PlWitness *witness = g_new0 (PlWitness, 1);
       witness->id = g_strdup (id);
+      witness->backoff = PL_CONNECT_RETRY;
       g_ptr_array_add (core->witnesses, witness);
       /* Opens the connection before the first read needs it.  */
       if (leads)
@@ -81,7 +82,7 @@
           || (witness->is_lost && now < witness->retry_at))
         continue;
       witness->asked_at = now;
-      witness->expires_at = now + PL_WITNESS_TIMEOUT;
+      witness->waited_since = now;
       push_witness_action (core, PL_ASK_WITNESS, witness->id);
     }
 }
@@ -140,7 +141,8 @@
 {
   witness->asked_at = 0;
   witness->is_lost = TRUE;
-  witness->retry_at = now + PL_CONNECT_RETRY;
+  witness->retry_at = now + witness->backoff;
+  witness->backoff = MIN (2 * witness->backoff, PL_CONNECT_RETRY_MAX);
 }
 
 /* Asks again if the last question was asked before the newest request that
@@ -163,6 +165,7 @@
   witness->confirmed_at = witness->asked_at;
   witness->asked_at = 0;
   witness->is_lost = FALSE;
+  witness->backoff = PL_CONNECT_RETRY;
   witness->term = MAX (witness->term, term);
   ask_again (core, now);
   pl_schedule (core, now);
@@ -182,7 +185,12 @@
   for (guint i = 0; i < core->witnesses->len; i++)
     {
       PlWitness *witness = g_ptr_array_index (core->witnesses, i);
-      if (witness->asked_at == 0 || now < witness->expires_at)
+      if (witness->asked_at == 0
+          || now < witness->waited_since + PL_WITNESS_TIMEOUT)
+        continue;
+      /* A late answer still dates from the question.  */
+      witness->is_lost = TRUE;
+      if (now < witness->waited_since + PL_WITNESS_DROP_AFTER)
         continue;
       push_witness_action (core, PL_DROP_WITNESS, witness->id);
       mark_lost (witness, now);
@@ -195,5 +203,6 @@
 {
   /* The time of the question itself must not change: it dates the proof.  */
   for (guint i = 0; i < core->witnesses->len; i++)
-    ((PlWitness *)g_ptr_array_index (core->witnesses, i))->expires_at += span;
+    ((PlWitness *)g_ptr_array_index (core->witnesses, i))->waited_since
+        += span;
 }
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -431,6 +431,51 @@
   fixture_free (&f);
 }
 
+/* A witness whose slots are busy takes long for the handshake.  Another
+   connection would wait as long and take one more of its slots.  */
+static const struct
+{
+  GmTime handshake_time;
+  guint dropped;
+} busy_witness_cases[] = {
+  { 50 * GM_MS, 0 },
+  { 400 * GM_MS, 0 },
+  { 1400 * GM_MS, 0 },
+  { 2000 * GM_MS, 2 },
+};
+
+static void
+test_busy_witness (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (busy_witness_cases); i++)
+    {
+      Fixture f = fixture_new (20);
+      GmTime ready = f.now + busy_witness_cases[i].handshake_time;
+      set_witnesses (&f);
+      while (f.now < ready)
+        {
+          f.now += 10 * GM_MS;
+          PlRequest *r = new_request (&f, PL_READ, 0);
+          r->after_position = (TkPoint){ 0, 0 };
+          submit_request (&f, r);
+          pl_tick (f.core, f.now);
+          take_actions (&f);
+        }
+      g_assert_cmpuint (f.drop_count, ==, busy_witness_cases[i].dropped);
+      g_assert_cmpuint (f.run_count, ==, 0);
+      pl_witness_answered (f.core, f.now, "db1", 1);
+      take_actions (&f);
+      f.now += GM_MS;
+      PlRequest *r = new_request (&f, PL_READ, 0);
+      r->after_position = (TkPoint){ 0, 0 };
+      submit_request (&f, r);
+      pl_witness_answered (f.core, f.now, "db1", 1);
+      take_actions (&f);
+      g_assert_cmpuint (f.run_count, >, 0);
+      fixture_free (&f);
+    }
+}
+
 /* A position sample is as old as the question to the witnesses, even when this
    process stalled in between.  */
 static void
@@ -647,6 +692,7 @@
   g_test_add_func ("/pool/lead", test_leader_proof);
   g_test_add_func ("/pool/witnesses", test_witnesses);
   g_test_add_func ("/pool/lost-witnesses", test_lost_witnesses);
+  g_test_add_func ("/pool/busy-witness", test_busy_witness);
   g_test_add_func ("/pool/witness-dates-proof", test_witness_dates_proof);
   g_test_add_func ("/pool/flood", test_flood);
   g_test_add_func ("/pool/silent", test_silent);
