galenamount route: where the statements of a service go

The operators of the large deployment could not tell which database a posting would reach. A host answers from its own copy of the state: group, term, primary, and the hosts that hold each database's queue.

Tests: /state/placement with 1,500 services, process cases route-shows-the-primary and unknown-route.

--- a/cli/commands.c
+++ b/cli/commands.c
@@ -174,6 +174,16 @@
   return text != NULL ? text : "";
 }
 
+/* Prints the members of O in NAMES on one line.  */
+static void
+print_line (json_object *o, const char *const *names)
+{
+  for (gsize k = 0; names[k] != NULL; k++)
+    printf ("%s%s=%s", k > 0 ? " " : "", names[k],
+            member_string (o, names[k]));
+  printf ("\n");
+}
+
 /* Prints one line for each object of LIST, with the members in NAMES.  */
 static void
 print_members (json_object *list, const char *const *names)
@@ -181,11 +191,8 @@
   gsize count = list != NULL ? json_object_array_length (list) : 0;
   for (gsize i = 0; i < count; i++)
     {
-      json_object *o = json_object_array_get_idx (list, i);
-      for (gsize k = 0; names[k] != NULL; k++)
-        printf ("%s%s=%s", k > 0 ? " " : "  ", names[k],
-                member_string (o, names[k]));
-      printf ("\n");
+      printf ("  ");
+      print_line (json_object_array_get_idx (list, i), names);
     }
 }
 
@@ -224,6 +231,25 @@
   print_members (answer->body, names);
 }
 
+/* Gets PATH from the host in C and shows the answer with PRINT.  Returns the
+   exit status.  */
+static int
+get_path (const CommonOptions *c, const char *path,
+          void (*print) (const ClientAnswer *answer))
+{
+  ClientTarget target = client_target (c);
+  ClientAnswer answer;
+  GmStatus status;
+  GmKind sent
+      = client_send (&target, "GET", path, NULL, NULL, &answer, &status);
+  if (sent != GM_OK || answer.kind != GM_OK || answer.body == NULL
+      || c->json->count > 0)
+    return print_answer (c, sent, &status, &answer);
+  print (&answer);
+  client_answer_clear (&answer);
+  return 0;
+}
+
 static int
 get_and_print (int argc, char **argv, const char *path,
                void (*print) (const ClientAnswer *answer))
@@ -231,22 +257,43 @@
   CommonOptions c = common_options_new ("operators' address of any host");
   void *table[] = { c.host, c.token, c.tls, c.json, c.help, c.end };
   int code = 0;
+  if (parse_arguments (argc, argv, table, &c, &code))
+    code = get_path (&c, path, print);
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return code;
+}
+
+static void
+print_route (const ClientAnswer *answer)
+{
+  static const char *const about[]
+      = { "service", "rank", "reads", "deadline_ms", "config", NULL };
+  static const char *const group[]
+      = { "group", "term", "primary", "dispatcher", "version", NULL };
+  static const char *const database[]
+      = { "id", "role", "address", "data_centre", "leaving", "queue", NULL };
+  json_object *list = NULL;
+  json_object_object_get_ex (answer->body, "databases", &list);
+  print_line (answer->body, about);
+  print_line (answer->body, group);
+  print_members (list, database);
+}
+
+int
+command_route (int argc, char **argv)
+{
+  CommonOptions c = common_options_new (
+      "operators' address of the host whose view to show");
+  struct arg_str *name = arg_str1 (NULL, NULL, "SERVICE", "the service");
+  void *table[] = ARGUMENT_TABLE (c, name);
+  int code = 0;
   if (parse_arguments (argc, argv, table, &c, &code))
     {
-      ClientTarget target = client_target (&c);
-      ClientAnswer answer;
-      GmStatus status;
-      GmKind sent
-          = client_send (&target, "GET", path, NULL, NULL, &answer, &status);
-      gboolean plain = sent == GM_OK && answer.kind == GM_OK
-                       && answer.body != NULL && c.json->count == 0;
-      if (plain)
-        {
-          print (&answer);
-          client_answer_clear (&answer);
-        }
-      else
-        code = print_answer (&c, sent, &status, &answer);
+      g_autofree char *service
+          = g_uri_escape_string (name->sval[0], NULL, FALSE);
+      g_autofree char *path
+          = g_strdup_printf ("/v1/route?service=%s", service);
+      code = get_path (&c, path, print_route);
     }
   arg_freetable (table, G_N_ELEMENTS (table));
   return code;
--- a/cli/commands.h
+++ b/cli/commands.h
@@ -8,6 +8,7 @@
   X ("check", command_check, "check a declaration or settings file")          \
   X ("apply", command_apply, "submit a declaration")                          \
   X ("status", command_status, "show hosts, groups, databases and control")   \
+  X ("route", command_route, "show where statements of a service go")         \
   X ("history", command_history, "show the audit trail of changes")           \
   X ("drain", command_drain, "start the planned shutdown of a host")          \
   X ("control", command_control, "replace or remove a control host")          \
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -1,5 +1,6 @@
 #include "operator.h"
 #include "connections.h"
+#include "control/placement.h"
 #include "http.h"
 #include "subscription.h"
 #include <string.h>
@@ -104,6 +105,26 @@
                     hold_message (op, msg));
 }
 
+/* Answers from this host's own copy of the state: it tells where this host
+   sends statements.  */
+static GmKind
+answer_route (const Operator *op, SoupServerMessage *msg, GHashTable *query,
+              GmStatus *status)
+{
+  const char *service
+      = query != NULL ? g_hash_table_lookup (query, "service") : NULL;
+  if (service == NULL)
+    return gm_fail (status, GM_INVALID, "\"service\" is needed");
+  g_autofree char *text = pm_describe (
+      subscription_state (op->daemon->subscription), service, status);
+  if (text == NULL)
+    return status->kind;
+  soup_server_message_set_status (msg, SOUP_STATUS_OK, NULL);
+  soup_server_message_set_response (msg, "application/json", SOUP_MEMORY_COPY,
+                                    text, strlen (text));
+  return GM_OK;
+}
+
 static GmKind
 route (Operator *op, SoupServerMessage *msg, const char *path,
        GHashTable *query, GmStatus *status)
@@ -119,6 +140,8 @@
       daemon_drain (op->daemon);
       http_answer (msg, GM_OK, "draining", NULL);
     }
+  else if (!post && strcmp (path, "/v1/route") == 0)
+    return answer_route (op, msg, query, status);
   else if (!post && strcmp (path, "/v1/status") == 0)
     ask_status (op, msg, FALSE);
   else if (!post && strcmp (path, "/v1/history") == 0)
--- a/lib/conf/declaration.c
+++ b/lib/conf/declaration.c
@@ -166,6 +166,12 @@
   return GM_OK;
 }
 
+const char *
+cf_reads_text (CfReads reads)
+{
+  return reads_texts[reads];
+}
+
 static CfReads
 reads_from_text (const char *text)
 {
--- a/lib/conf/declaration.h
+++ b/lib/conf/declaration.h
@@ -82,8 +82,9 @@
   GHashTable *groups_by_name;   /* name -> CfGroup, borrowed */
 } CfDeclaration;
 
-/* Returns the text of RANK in a declaration; static.  */
+/* Return the texts of RANK and READS in a declaration; static.  */
 const char *cf_rank_text (CfRank rank);
+const char *cf_reads_text (CfReads reads);
 /* Parses and validates LENGTH bytes of TEXT.  NAME is put before line and
    column in messages.  Returns NULL and fills STATUS on an error.  Free the
    declaration with cf_declaration_free.  */
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -58,6 +58,12 @@
 run_on 1 --service quote --outcome --request-id once-1 >/dev/null
 check outcome-by-request-id $?
 
+# Where the statements of a service go, as each host sees it.
+operate 3 route quote | grep -q "group=costing term=[0-9]* primary=$(primary_of 1) dispatcher=host"
+check route-shows-the-primary $?
+operate 3 route nowhere 2>&1 | grep -q 'no service "nowhere"'
+check unknown-route $?
+
 # A transaction continues through several entry hosts, and is lost with its
 # dispatcher.
 id=$(run_on 1 --service quote --begin | sed -n 's/^transaction=//p')
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -1,6 +1,7 @@
 /* The control state, a host's copy of it, and how dispatchers and queue
    holders use it.  */
 #include "clog/clog.h"
+#include "control/placement.h"
 #include "control/subscriber.h"
 #include "dispatch/group.h"
 #include "failover/members.h"
@@ -434,6 +435,72 @@
     }
 }
 
+/* Where statements go, among 1,500 services: parts of the description, or of
+   the error.  */
+static const struct
+{
+  const char *service;
+  gboolean known;
+  const char *parts[4];
+} placements[] = {
+  { "service0", TRUE, { "\"group\": \"g\"", "\"reads\": \"primary\"", NULL } },
+  { "service1499",
+    TRUE,
+    { "\"id\": \"d2\", \"role\": \"primary\"", "\"queue\": [ \"a1\" ]",
+      "\"term\": 4", NULL } },
+  { "service1500", FALSE, { "configuration 3", NULL } },
+  { "", FALSE, { "no service \"\"", NULL } },
+};
+
+static void
+test_placement (void)
+{
+  g_autoptr (CsState) state = cs_new ();
+  g_autoptr (GString) text = g_string_new (
+      "{\"number\": 3, \"groups\": [{\"name\": \"g\"}], \"services\": [");
+  for (guint i = 0; i < 1500; i++)
+    g_string_append_printf (
+        text,
+        "%s{\"name\": \"service%u\", \"depends_on\": [\"g\"],"
+        " \"rank\": \"urgent\", \"deadline_ms\": 8,"
+        " \"reads\": \"primary\"}",
+        i > 0 ? "," : "", i);
+  g_string_append (text, "]}");
+  g_autoptr (GBytes) block = g_bytes_new (text->str, text->len);
+  WmMessage c = { .type = WM_TYPE_CMD_CONFIG,
+                  .cmd_config = { .number = 3,
+                                  .digest = (char *)"d",
+                                  .text = block,
+                                  .highest = 1,
+                                  .who = (char *)"test" } };
+  WmMessage term
+      = { .type = WM_TYPE_CMD_TERM,
+          .cmd_term
+          = { .group = (char *)"g", .term = 4, .reason = (char *)"" } };
+  WmMessage primary = { .type = WM_TYPE_CMD_PRIMARY,
+                        .cmd_primary = { .group = (char *)"g",
+                                         .term = 4,
+                                         .id = (char *)"d2",
+                                         .holder = (char *)"c" } };
+  cs_apply (state, 1, &c, NULL);
+  add_pool_host (state, "a1", "a", TRUE, 0);
+  add_database (state, "d1", "a");
+  add_database (state, "d2", "a");
+  cs_apply (state, state->version + 1, &term, NULL);
+  cs_apply (state, state->version + 1, &primary, NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (placements); i++)
+    {
+      GmStatus status = { GM_OK, "" };
+      g_autofree char *found
+          = pm_describe (state, placements[i].service, &status);
+      g_assert_cmpint (found != NULL, ==, placements[i].known);
+      const char *shown = found != NULL ? found : status.message;
+      for (guint k = 0; placements[i].parts[k] != NULL; k++)
+        if (strstr (shown, placements[i].parts[k]) == NULL)
+          g_error ("%s lacks %s", shown, placements[i].parts[k]);
+    }
+}
+
 /* No more than CS_LEFT_MAX databases that have left are kept.  */
 static void
 test_left_bound (void)
@@ -542,6 +609,7 @@
   g_test_add_func ("/state/stall", test_stall);
   g_test_add_func ("/state/highest", test_highest_wins);
   g_test_add_func ("/state/late-heartbeats", test_late_heartbeats);
+  g_test_add_func ("/state/placement", test_placement);
   g_test_add_func ("/state/left-bound", test_left_bound);
   g_test_add_func ("/state/pools", test_queue_holders);
   g_test_add_func ("/state/shares", test_shares);
