A primary that was leaving when chosen takes no statements

Cause: after two losses in a row the leaving copy can be the only one with the last acknowledged writes.

Ruled out: late heartbeats, the preference among equal positions.

Test: /router/leaving-primary.

--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -3,6 +3,13 @@
 #include "base/mutant.h"
 #include <string.h>
 
+/* Bits of REC_GROUP's field settled.  */
+enum
+{
+  GROUP_SETTLED = 1,
+  GROUP_INTERIM = 2
+};
+
 static void
 host_free (CsHost *host)
 {
@@ -442,8 +449,10 @@
       || (*group->primary != '\0' && !again))
     return gm_fail (outcome, GM_CONFLICT, "%s has another term or primary",
                     c->group);
+  const CsDatabase *chosen = g_hash_table_lookup (state->databases, c->id);
   g_free (group->primary);
   g_free (group->holder);
+  group->interim = chosen != NULL && chosen->leaving;
   group->primary = g_strdup (c->id);
   group->holder = g_strdup (c->holder != NULL ? c->holder : "");
   group->round = c->round;
@@ -580,15 +589,17 @@
   for (GList *l = groups; l != NULL; l = l->next)
     {
       const CsGroup *g = l->data;
-      WmMessage m = { .type = WM_TYPE_REC_GROUP,
-                      .rec_group = { .group = g->group,
-                                     .term = g->term,
-                                     .primary = g->primary,
-                                     .avoid = g->avoid,
-                                     .decided = g->decided,
-                                     .holder = g->holder,
-                                     .round = g->round,
-                                     .settled = g->settled ? 1 : 0 } };
+      WmMessage m
+          = { .type = WM_TYPE_REC_GROUP,
+              .rec_group = { .group = g->group,
+                             .term = g->term,
+                             .primary = g->primary,
+                             .avoid = g->avoid,
+                             .decided = g->decided,
+                             .holder = g->holder,
+                             .round = g->round,
+                             .settled = (g->settled ? GROUP_SETTLED : 0)
+                                        | (g->interim ? GROUP_INTERIM : 0) } };
       wm_append (out, &m);
     }
 }
@@ -662,7 +673,8 @@
   group->decided = r->decided;
   group->holder = g_strdup (r->holder);
   group->round = r->round;
-  group->settled = r->settled != 0;
+  group->settled = (r->settled & GROUP_SETTLED) != 0;
+  group->interim = (r->settled & GROUP_INTERIM) != 0;
   g_hash_table_replace (state->groups, group->group, group);
 }
 
--- a/lib/cstate/cstate.h
+++ b/lib/cstate/cstate.h
@@ -58,6 +58,10 @@
   char *holder;     /* control host that chose the primary, "" for none */
   guint64 round;    /* control term of that host when it chose */
   gboolean settled; /* the primary is known to lead */
+  /* The primary was leaving when it was chosen, for the writes that it alone
+     has received.  It takes no statements until another copy has them and is
+     chosen.  */
+  gboolean interim;
 } CsGroup;
 
 /* An accepted configuration.  */
--- a/lib/session/router.c
+++ b/lib/session/router.c
@@ -299,6 +299,7 @@
   const CsGroup *group = cs_group (state, name);
   return group != NULL && *group->primary != '\0'
                  && (group->settled || GM_MUTANT (UNSETTLED_SERVES))
+                 && !group->interim
              ? g_hash_table_lookup (state->databases, group->primary)
              : NULL;
 }
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -112,11 +112,104 @@
   lv_free (hosts);
 }
 
+/* The primary's announcement that it is leaving, before or after it was
+   chosen, and whether callers' statements go to it once it leads.  */
+static const struct
+{
+  gboolean leaving_before;
+  gboolean leaving_after;
+  gboolean serves;
+  gboolean replaced; /* by a copy that is not leaving */
+} leaving_cases[] = {
+  { FALSE, FALSE, TRUE, FALSE },
+  { FALSE, TRUE, TRUE, FALSE },
+  { TRUE, TRUE, FALSE, FALSE },
+  { TRUE, TRUE, TRUE, TRUE },
+};
+
+static void
+announce (CsState *state, const char *id, gboolean leaving)
+{
+  WmMessage m = { .type = WM_TYPE_CMD_DATABASE,
+                  .cmd_database = { .id = (char *)id,
+                                    .group = (char *)"g",
+                                    .address = (char *)"127.0.0.1:2",
+                                    .data_centre = (char *)"dc",
+                                    .slots = SHARES,
+                                    .incarnation = 1,
+                                    .leaving = leaving ? 1 : 0 } };
+  cs_apply (state, state->version + 1, &m, NULL);
+}
+
+/* Makes ID the primary of TERM.  */
+static void
+promote (CsState *state, guint64 term, const char *id)
+{
+  WmMessage open
+      = { .type = WM_TYPE_CMD_TERM,
+          .cmd_term
+          = { .group = (char *)"g", .term = term, .reason = (char *)"test" } };
+  WmMessage choose = { .type = WM_TYPE_CMD_PRIMARY,
+                       .cmd_primary = { .group = (char *)"g",
+                                        .term = term,
+                                        .id = (char *)id,
+                                        .holder = (char *)"c" } };
+  cs_apply (state, state->version + 1, &open, NULL);
+  cs_apply (state, state->version + 1, &choose, NULL);
+  WmMessage done
+      = { .type = WM_TYPE_CMD_PROMOTED,
+          .cmd_promoted = { .group = (char *)"g",
+                            .token = cs_group (state, "g")->decided } };
+  cs_apply (state, state->version + 1, &done, NULL);
+}
+
+static void
+test_leaving_primary (void)
+{
+  static const char text[]
+      = "{\"number\": 1, \"groups\": [{\"name\": \"g\"}], \"services\": "
+        "[{\"name\": \"s\", \"depends_on\": [\"g\"], \"rank\": \"urgent\", "
+        "\"deadline_ms\": 5}]}";
+  g_autoptr (GBytes) block = g_bytes_new_static (text, sizeof text - 1);
+  WmMessage config = { .type = WM_TYPE_CMD_CONFIG,
+                       .cmd_config = { .number = 1,
+                                       .digest = (char *)"d",
+                                       .text = block,
+                                       .who = (char *)"test" } };
+  for (guint i = 0; i < G_N_ELEMENTS (leaving_cases); i++)
+    {
+      g_autoptr (CsState) built = state_with_one_database ();
+      cs_apply (built, built->version + 1, &config, NULL);
+      announce (built, "db", leaving_cases[i].leaving_before);
+      promote (built, 2, "db");
+      announce (built, "db", leaving_cases[i].leaving_after);
+      if (leaving_cases[i].replaced)
+        {
+          announce (built, "db2", FALSE);
+          promote (built, 3, "db2");
+        }
+      /* The same after a restart from a snapshot.  */
+      g_autoptr (GBytes) snapshot = cs_encode (built);
+      g_autoptr (CsState) state = cs_decode (built->version, snapshot);
+      LvCore *hosts = lv_new ();
+      SrRouter *router = sr_new ("entry", "dc", hosts);
+      sr_state_changed (router, state);
+      g_assert_cmpint (sr_primary (router, state, "g") != NULL, ==,
+                       leaving_cases[i].serves);
+      g_assert_cmpint (
+          sr_read_database (router, state, NOW, "g", NOW, NULL, FALSE) != NULL,
+          ==, leaving_cases[i].serves);
+      sr_free (router);
+      lv_free (hosts);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/router/holders", test_holders);
   g_test_add_func ("/router/spread", test_spread);
+  g_test_add_func ("/router/leaving-primary", test_leaving_primary);
   return g_test_run ();
 }
