--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -160,6 +160,17 @@
 eventually 10 once 6 orders "WRITE g 1" "DONE sig.*"
 check writes-after-planned-change $? "$answer"
 
+# Odd announcements are refused alone.
+announced () { http POST "$(control_port 1)" "/api/instances/$1/heartbeat" "$2" | head -1; }
+[ "$(announced i-odd "[$(printf '1,%.0s' $(seq 10000))1]")" = 413 ]
+check oversized-heartbeat-refused $?
+[ "$(announced i%20odd '{}')" = 404 ]
+check odd-id-refused $?
+[ "$(announced i-odd '{"serviceName":"stock","address":"127.0.0.1:65536"}')" = 400 ]
+check odd-port-refused $?
+once 4 orders "READ g" "ROW 1 *"
+check serves-after-odd-announcements $? "$answer"
+
 # Manifests: the highest version is in force, whichever control host received it,
 # and can be read back.
 taken 2 10 && taken 3 9
