--- a/lib/failover/failover.h
+++ b/lib/failover/failover.h
@@ -64,8 +64,7 @@
   FO_CALL_PROMOTE,
   FO_CALL_FOLLOW,
   FO_CALL_UNSEAL,
-  FO_CALL_STEP_DOWN /* a primary of a term before the call's becomes a replica
-                     */
+  FO_CALL_STEP_DOWN /* makes a primary of an earlier term a replica */
 } FoCall;
 
 /* The next call that a dispatcher makes to the database ID, by its group in
