Replaced primaries are looked for every 300 ms, not at each tick

Ruled out: the rest of the leader's tick, which looks at databases only when a primary is suspected.

Test: /takeover/deposed.

--- a/lib/failover/takeover.c
+++ b/lib/failover/takeover.c
@@ -42,6 +42,7 @@
   GmTime order_sent_at;
   GmTime next_order_at;
   guint64 unsealed_term; /* term in which the replicas were unsealed */
+  GmTime next_depose_at; /* when to look for replaced primaries again */
   GmTime settled_at;     /* when the last promotion was done */
 } GroupProgress;
 
@@ -501,9 +502,12 @@
    successor does not know that it was replaced.  */
 static void
 depose_old_primaries (ToCore *core, GmTime now, const CsState *state,
-                      const CsGroup *group, const GroupProgress *progress)
+                      const CsGroup *group, GroupProgress *progress)
 {
   gboolean replaced_here = progress->unsealed_term == group->term;
+  if (now < progress->next_depose_at)
+    return;
+  progress->next_depose_at = now + TO_DEPOSE_INTERVAL;
   g_autoptr (GPtrArray) others
       = databases_of (state, group->group, group->primary);
   for (guint i = 0; i < others->len; i++)
--- a/lib/failover/takeover.h
+++ b/lib/failover/takeover.h
@@ -61,6 +61,9 @@
 #define TO_SETTLE_GRACE (2 * GM_SECOND)
 /* Delay before the replaced primary is called to seal.  */
 #define TO_OLD_PRIMARY_DELAY (500 * GM_MS)
+/* Between two looks for replaced primaries that claim the lead.  Each looks at
+   all databases; their heartbeats, which tell, come every 1.2 s.  */
+#define TO_DEPOSE_INTERVAL (300 * GM_MS)
 #define TO_TERM_SPACING (1 * GM_SECOND) /* between two terms of a group */
 #define TO_PROPOSE_RETRY (300 * GM_MS)
 
