A primary is chosen only among all copies that may hold an acknowledged write

Besides: a group that had lost a replica for good never had a primary again after its primary had crashed and come back.

Cause: the leader compared the number of seals with the declared three databases. A release makes four copies, and the one not sealed could be the one that received from the old primary. A copy out of sight for 5 s was not counted at all. The primary that came back can't be sealed as long as it leads, and has a new id, which nobody took for the last primary.

Change: cs_other_copies counts the databases that are known, out of sight, or not yet heard of; all of them must be sealed. Otherwise the last primary, or the database that was started later at its address, must have stepped down, be sealed and not be behind any sealed copy. A choice that was never confirmed no longer counts as last primary.

Why it works: an acknowledged write is on the last primary and on one other copy, which may be any; both conditions cover every such pair.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 	@$(BUILD)/fuzz --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
 	@$(BUILD)/sessions --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
 	@$(BUILD)/sessions --deposed-serves --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
+	@$(BUILD)/sessions --releases --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
 
 mutants: install-packages
 	@mkdir -p build-mutants
--- a/lib/base/mutant.h
+++ b/lib/base/mutant.h
@@ -12,6 +12,8 @@
   X (NONE, "none")                                                            \
   X (ACK_ALONE, "a write is acknowledged before a replica holds it")          \
   X (SEAL_ONE, "one sealed copy is enough for a promotion")                   \
+  X (COUNT_DECLARED, "copies beyond the declared number are not counted")     \
+  X (MISSING_FORGOTTEN, "a copy that is out of sight is not counted")         \
   X (PROMOTE_LOWEST, "the replica with the shortest log is promoted")         \
   X (UNALIGNED_READ, "a replaced primary serves writes only it has")          \
   X (POSITION_UNCHECKED, "a read does not check the database's position")     \
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -162,7 +162,10 @@
   else if (command->type == WM_TYPE_CMD_DATABASE)
     gm_log (command->cmd_database.leaving != 0 ? GM_EV_DATABASE_LEAVING
                                                : GM_EV_DATABASE_UP,
-            "%s of %s", command->cmd_database.id, command->cmd_database.group);
+            "%s of %s, %s at %s", command->cmd_database.id,
+            command->cmd_database.group,
+            command->cmd_database.primary != 0 ? "primary" : "replica",
+            command->cmd_database.address);
   else if (command->type == WM_TYPE_CMD_DATABASE_DOWN)
     gm_log (GM_EV_DATABASE_DOWN, "%s", command->cmd_database_down.id);
   else if (command->type == WM_TYPE_CMD_DATABASE_LEFT)
--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -30,6 +30,15 @@
   g_free (database);
 }
 
+static void
+missing_free (CsMissing *missing)
+{
+  g_free (missing->id);
+  g_free (missing->group);
+  g_free (missing->address);
+  g_free (missing);
+}
+
 static void
 group_free (CsGroup *group)
 {
@@ -75,6 +84,7 @@
   CsState *state = g_new0 (CsState, 1);
   state->hosts = table_new (host_free);
   state->databases = table_new (database_free);
+  state->missing = table_new (missing_free);
   state->groups = table_new (group_free);
   state->dispatchers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -97,6 +107,7 @@
   g_clear_pointer (&state->queue_holders, g_hash_table_unref);
   g_hash_table_unref (state->hosts);
   g_hash_table_unref (state->databases);
+  g_hash_table_unref (state->missing);
   g_hash_table_unref (state->groups);
   g_hash_table_unref (state->dispatchers);
   g_array_unref (state->history);
@@ -344,6 +355,52 @@
   group->settled = TRUE;
 }
 
+/* Returns the database that was announced at ADDRESS and was started after
+   INCARNATION, or NULL.  The one that was there before has ended.  */
+static const CsDatabase *
+find_successor (const CsState *state, const char *address, guint64 incarnation)
+{
+  const CsDatabase *last = NULL;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, state->databases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CsDatabase *d = value;
+      if (d->incarnation > incarnation && strcmp (d->address, address) == 0)
+        {
+          incarnation = d->incarnation;
+          last = d;
+        }
+    }
+  return last;
+}
+
+static void
+add_missing (CsState *state, const struct wm_rec_missing *r)
+{
+  CsMissing *missing = g_new0 (CsMissing, 1);
+  missing->id = g_strdup (r->id);
+  missing->group = g_strdup (r->group);
+  missing->address = g_strdup (r->address);
+  missing->incarnation = r->incarnation;
+  g_hash_table_replace (state->missing, missing->id, missing);
+}
+
+/* Whether MISSING has ended and its record is of no more use: that of a
+   group's last primary still tells which database has its log.  */
+static gboolean
+is_obsolete (gpointer id, gpointer value, gpointer data)
+{
+  const CsState *state = data;
+  const CsMissing *missing = value;
+  const CsGroup *group = cs_group (state, missing->group);
+  return find_successor (state, missing->address, missing->incarnation) != NULL
+         && (group == NULL
+             || (strcmp (group->primary, id) != 0
+                 && strcmp (group->avoid, id) != 0));
+}
+
 static GmKind
 apply_database (CsState *state, const struct wm_cmd_database *c,
                 GmStatus *outcome)
@@ -365,6 +422,8 @@
   database->sequence = c->sequence;
   g_hash_table_replace (state->databases, database->id, database);
   g_clear_pointer (&state->queue_holders, g_hash_table_unref);
+  g_hash_table_remove (state->missing, c->id);
+  g_hash_table_foreach_remove (state->missing, is_obsolete, state);
   adopt_first_primary (state, c);
   return gm_ok (outcome);
 }
@@ -377,11 +436,28 @@
   if (old == NULL || old->incarnation != c->incarnation)
     return gm_fail (outcome, GM_CONFLICT,
                     "%s is not known with this incarnation", c->id);
+  if (!GM_MUTANT (MISSING_FORGOTTEN))
+    add_missing (state,
+                 &(struct wm_rec_missing){ old->id, old->group, old->address,
+                                           old->incarnation });
   g_hash_table_remove (state->databases, c->id);
+  g_hash_table_foreach_remove (state->missing, is_obsolete, state);
   g_clear_pointer (&state->queue_holders, g_hash_table_unref);
   return gm_ok (outcome);
 }
 
+static GmKind
+apply_database_lost (CsState *state, const struct wm_cmd_database_lost *c,
+                     GmStatus *outcome)
+{
+  const CsMissing *missing = g_hash_table_lookup (state->missing, c->id);
+  if (missing == NULL || missing->incarnation != c->incarnation)
+    return gm_fail (outcome, GM_CONFLICT,
+                    "%s is not missing with this incarnation", c->id);
+  g_hash_table_remove (state->missing, c->id);
+  return gm_ok (outcome);
+}
+
 gboolean
 cs_has_left (const CsState *state, const char *id, guint64 incarnation)
 {
@@ -402,6 +478,7 @@
   if (old != NULL && old->incarnation > c->incarnation)
     return gm_fail (outcome, GM_CONFLICT, "%s has a newer incarnation", c->id);
   g_hash_table_remove (state->databases, c->id);
+  g_hash_table_remove (state->missing, c->id);
   g_clear_pointer (&state->queue_holders, g_hash_table_unref);
   CsLeft *left = g_new0 (CsLeft, 1);
   left->id = g_strdup (c->id);
@@ -420,8 +497,10 @@
     return gm_fail (outcome, GM_CONFLICT,
                     "%s is unknown or already has this term", c->group);
   group->term = c->term;
-  /* Without a primary in the last term, keep the primary before that.  */
-  if (*group->primary != '\0')
+  /* Keep the last primary that has led: a choice whose promotion is not known
+     to be done has acknowledged nothing.  Only choices that the platform
+     carries out have a holder.  */
+  if (*group->primary != '\0' && (group->settled || *group->holder == '\0'))
     {
       g_free (group->avoid);
       group->avoid = g_strdup (group->primary);
@@ -475,6 +554,7 @@
     return gm_fail (outcome, GM_CONFLICT, "%s has another choice of primary",
                     c->group);
   group->settled = TRUE;
+  g_hash_table_foreach_remove (state->missing, is_obsolete, state);
   return gm_ok (outcome);
 }
 
@@ -498,6 +578,8 @@
       return apply_database_down (state, &command->cmd_database_down, outcome);
     case WM_TYPE_CMD_DATABASE_LEFT:
       return apply_database_left (state, &command->cmd_database_left, outcome);
+    case WM_TYPE_CMD_DATABASE_LOST:
+      return apply_database_lost (state, &command->cmd_database_lost, outcome);
     case WM_TYPE_CMD_TERM:
       return apply_term (state, &command->cmd_term, outcome);
     case WM_TYPE_CMD_PRIMARY:
@@ -569,6 +651,22 @@
     }
 }
 
+static void
+encode_missing (const CsState *state, GByteArray *out)
+{
+  g_autoptr (GList) missing = sorted_values (state->missing);
+  for (GList *l = missing; l != NULL; l = l->next)
+    {
+      const CsMissing *d = l->data;
+      WmMessage m = { .type = WM_TYPE_REC_MISSING,
+                      .rec_missing = { .id = d->id,
+                                       .group = d->group,
+                                       .address = d->address,
+                                       .incarnation = d->incarnation } };
+      wm_append (out, &m);
+    }
+}
+
 static void
 encode_left (const CsState *state, GByteArray *out)
 {
@@ -645,6 +743,7 @@
   encode_groups (state, out);
   encode_hosts (state, out);
   encode_databases (state, out);
+  encode_missing (state, out);
   encode_left (state, out);
   encode_history (state, out);
   return g_byte_array_free_to_bytes (out);
@@ -703,6 +802,8 @@
     apply_host (state, &m->cmd_host, NULL);
   else if (m->type == WM_TYPE_CMD_DATABASE)
     apply_database (state, &m->cmd_database, NULL);
+  else if (m->type == WM_TYPE_REC_MISSING)
+    add_missing (state, &m->rec_missing);
   else if (m->type == WM_TYPE_CMD_DATABASE_LEFT)
     apply_database_left (state, &m->cmd_database_left, NULL);
   else
@@ -742,3 +843,44 @@
       = declaration != NULL ? cf_group_find (declaration, group) : NULL;
   return declared != NULL ? (guint)declared->databases : 0;
 }
+
+const char *
+cs_present_id (const CsState *state, const char *id)
+{
+  const CsDatabase *d = g_hash_table_lookup (state->databases, id);
+  const CsMissing *missing = g_hash_table_lookup (state->missing, id);
+  const CsDatabase *successor = NULL;
+  if (d != NULL)
+    successor = find_successor (state, d->address, d->incarnation);
+  else if (missing != NULL)
+    successor = find_successor (state, missing->address, missing->incarnation);
+  return successor != NULL ? successor->id : id;
+}
+
+/* Adds ID, if it is a database of GROUP that has not ended, to the set IDS. */
+static void
+add_copy (const CsState *state, GHashTable *ids, const char *group,
+          const char *id, const char *id_group)
+{
+  if (strcmp (group, id_group) == 0)
+    g_hash_table_add (ids, (gpointer)cs_present_id (state, id));
+}
+
+guint
+cs_other_copies (const CsState *state, const char *group, const char *except)
+{
+  g_autoptr (GHashTable) ids = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, state->databases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    add_copy (state, ids, group, ((CsDatabase *)value)->id,
+              ((CsDatabase *)value)->group);
+  g_hash_table_iter_init (&iter, state->missing);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    add_copy (state, ids, group, ((CsMissing *)value)->id,
+              ((CsMissing *)value)->group);
+  g_hash_table_remove (ids, cs_present_id (state, except));
+  guint declared = MAX (cs_database_count (state, group), 1);
+  return MAX (g_hash_table_size (ids), declared - 1);
+}
--- a/lib/cstate/cstate.h
+++ b/lib/cstate/cstate.h
@@ -46,8 +46,18 @@
   guint64 sequence; /* number of the announcement that this record is from */
 } CsDatabase;
 
+/* A database that is out of sight: it announces nothing, but has not said that
+   it leaves.  It may still receive from the primary.  */
+typedef struct
+{
+  char *id;
+  char *group;
+  char *address;
+  guint64 incarnation;
+} CsMissing;
+
 /* A database group's term.  primary is "" while the term's databases are being
-   sealed and none is chosen; avoid is the primary of the previous term.  */
+   sealed and none is chosen; avoid is the last primary that has led.  */
 typedef struct
 {
   char *group;
@@ -100,6 +110,7 @@
   GBytes *source;            /* as the operator sent it; empty: same as text */
   GHashTable *hosts;         /* host -> CsHost */
   GHashTable *databases;     /* id -> CsDatabase */
+  GHashTable *missing;       /* id -> CsMissing */
   GHashTable *groups;        /* group -> CsGroup */
   GArray *history;           /* CsHistory, by number */
   GQueue audit;              /* CsAudit *, oldest first */
@@ -139,11 +150,20 @@
 CsState *cs_decode (guint64 version, GBytes *block);
 /* Returns the digest of a declaration's text; free it with g_free.  */
 char *cs_digest (const void *text, gsize length);
-/* Returns the record of GROUP, or NULL.  */
 /* Whether the database ID has left, in INCARNATION or a later one.  */
 gboolean cs_has_left (const CsState *state, const char *id,
                       guint64 incarnation);
+/* Returns the record of GROUP, or NULL.  */
 const CsGroup *cs_group (const CsState *state, const char *group);
+/* Returns the id of the database that runs in the place of ID: ID, or that of
+   the one that was started later at its address and has its log.  */
+const char *cs_present_id (const CsState *state, const char *id);
+/* Returns how many databases of GROUP other than the database EXCEPT may hold
+   a write that EXCEPT acknowledged: those that are known, those that are
+   missing, and those that have not been heard of yet while fewer are known
+   than GROUP is declared to have.  */
+guint cs_other_copies (const CsState *state, const char *group,
+                       const char *except);
 /* Returns how many databases GROUP is declared to have.  */
 guint cs_database_count (const CsState *state, const char *group);
 /* Returns the dispatcher of GROUP, chosen by rendezvous hashing among the live
--- a/lib/failover/members.c
+++ b/lib/failover/members.c
@@ -228,11 +228,50 @@
     }
 }
 
+static guint
+count_databases (const CsState *state, const char *group)
+{
+  guint count = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, state->databases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += strcmp (((CsDatabase *)value)->group, group) == 0 ? 1 : 0;
+  return count;
+}
+
+static void
+expire_missing (MbCore *core, GmTime now, const CsState *state)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, state->missing);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CsMissing *missing = value;
+      Heartbeat *heartbeat
+          = g_hash_table_lookup (core->databases, missing->id);
+      if (heartbeat == NULL)
+        heartbeat = record_heartbeat (core->databases, missing->id, now);
+      if (now < heartbeat->at + MB_MISSING_TIMEOUT
+          || count_databases (state, missing->group)
+                 < cs_database_count (state, missing->group)
+          || !may_propose (heartbeat, now))
+        continue;
+      WmMessage command
+          = { .type = WM_TYPE_CMD_DATABASE_LOST,
+              .cmd_database_lost
+              = { .id = missing->id, .incarnation = missing->incarnation } };
+      wm_queue_put (&core->commands, &command);
+    }
+}
+
 void
 mb_tick (MbCore *core, GmTime now, const CsState *state)
 {
   expire_hosts (core, now, state);
   expire_databases (core, now, state);
+  expire_missing (core, now, state);
 }
 
 gboolean
--- a/lib/failover/members.h
+++ b/lib/failover/members.h
@@ -11,6 +11,10 @@
    control host.  */
 #define MB_LINK_GRACE (500 * GM_MS)
 #define MB_DATABASE_TIMEOUT (5 * GM_SECOND)
+/* A missing database counts as lost after this if its group has as many
+   databases as declared without it: it has been replaced, and this is longer
+   than the old and the new one run beside each other.  */
+#define MB_MISSING_TIMEOUT (60 * GM_SECOND)
 #define MB_PROPOSE_RETRY (500 * GM_MS)
 
 typedef struct MbCore MbCore;
@@ -32,7 +36,8 @@
 /* Counts as a heartbeat of the database ID, which serves statements although
    it announced nothing.  */
 void mb_database_serves (MbCore *core, GmTime now, const char *id);
-/* Proposes to remove the hosts and databases whose heartbeats timed out.  */
+/* Proposes to remove the hosts and databases whose heartbeats timed out, and
+   to give up the missing databases that have been replaced.  */
 void mb_tick (MbCore *core, GmTime now, const CsState *state);
 /* Takes the next command to propose; the caller clears it.  FALSE when there
    is none.  */
--- a/lib/failover/takeover.c
+++ b/lib/failover/takeover.c
@@ -561,46 +561,95 @@
   return 0;
 }
 
-/* Calls every database that is not sealed yet.  Returns the number of sealed
-   databases and stores the one with the highest position in BEST.  The
-   replaced primary can be sealed only once it is a replica.  */
-static guint
+/* Calls every database that is not sealed yet.  A primary can't be sealed and
+   must step down first; the last one is called later than the others.  */
+static void
 seal_databases (ToCore *core, GmTime now, const CsState *state,
-                const CsGroup *group, const GroupProgress *progress,
-                const CsDatabase **best)
+                const CsGroup *group, const GroupProgress *progress)
 {
-  guint sealed = 0;
+  const char *last_primary = cs_present_id (state, group->avoid);
   g_autoptr (GPtrArray) all = databases_of (state, group->group, NULL);
-  *best = NULL;
   for (guint i = 0; i < all->len; i++)
     {
       const CsDatabase *d = g_ptr_array_index (all, i);
       DatabaseView *view = view_of (core, d->id);
-      gboolean replaced = strcmp (d->id, group->avoid) == 0;
+      gboolean led = strcmp (d->id, last_primary) == 0;
+      if (is_sealed (view, now, group->term) || !may_call (view, now)
+          || (led && now < progress->sealing_since + TO_OLD_PRIMARY_DELAY))
+        continue;
+      gboolean leads = view->has_status && view->status.primary;
+      start_call (core, now, progress, d,
+                  leads ? FO_CALL_STEP_DOWN : FO_CALL_SEAL, group->term);
+    }
+}
+
+/* The copies of a group that are sealed for its term.  */
+typedef struct
+{
+  guint others;           /* copies other than the last primary */
+  const CsDatabase *best; /* of those, the one with the highest position */
+  const CsDatabase *led;  /* the last primary, or NULL if it is not sealed */
+} SealedCopies;
+
+static SealedCopies
+find_sealed (ToCore *core, GmTime now, const CsState *state,
+             const CsGroup *group)
+{
+  SealedCopies sealed = { 0 };
+  const char *last_primary = cs_present_id (state, group->avoid);
+  g_autoptr (GPtrArray) all = databases_of (state, group->group, NULL);
+  for (guint i = 0; i < all->len; i++)
+    {
+      const CsDatabase *d = g_ptr_array_index (all, i);
+      const DatabaseView *view = view_of (core, d->id);
       if (!is_sealed (view, now, group->term))
+        continue;
+      if (strcmp (d->id, last_primary) == 0)
         {
-          if (may_call (view, now)
-              && (!replaced
-                  || now >= progress->sealing_since + TO_OLD_PRIMARY_DELAY))
-            start_call (core, now, progress, d, FO_CALL_SEAL, group->term);
-          continue;
-        }
-      sealed++;
-      if (*best == NULL)
-        {
-          *best = d;
+          sealed.led = d;
           continue;
         }
-      const DatabaseView *other = view_of (core, (*best)->id);
-      int order = compare_positions (&view->status, &other->status);
-      if (GM_MUTANT (PROMOTE_LOWEST))
+      sealed.others++;
+      const DatabaseView *best
+          = sealed.best != NULL ? view_of (core, sealed.best->id) : NULL;
+      int order = best != NULL
+                      ? compare_positions (&view->status, &best->status)
+                      : 1;
+      if (GM_MUTANT (PROMOTE_LOWEST) && best != NULL)
         order = -order;
-      if (order > 0 || (order == 0 && (*best)->leaving && !d->leaving))
-        *best = d;
+      if (order > 0 || (order == 0 && sealed.best->leaving && !d->leaving))
+        sealed.best = d;
     }
   return sealed;
 }
 
+/* The sealed copy of GROUP that holds every acknowledged write, or NULL while
+   none is known to.
+
+   A write that the last primary acknowledged is on that primary and on one
+   other copy, which may be any.  Once all other copies are sealed, the one
+   with the highest position has every acknowledged write.  While one of them
+   can't be sealed, the last primary itself has every such write, unless it
+   has lost its log: then it is behind another copy.  */
+static const CsDatabase *
+complete_copy (ToCore *core, GmTime now, const CsState *state,
+               const CsGroup *group)
+{
+  SealedCopies sealed = find_sealed (core, now, state, group);
+  guint needed = cs_other_copies (state, group->group, group->avoid);
+  if (GM_MUTANT (COUNT_DECLARED))
+    needed = cs_database_count (state, group->group) - 1;
+  if (sealed.best == NULL || sealed.others >= needed || GM_MUTANT (SEAL_ONE))
+    return sealed.best;
+  if (sealed.led == NULL)
+    return NULL;
+  int order = compare_positions (&view_of (core, sealed.led->id)->status,
+                                 &view_of (core, sealed.best->id)->status);
+  if (order < 0)
+    return NULL;
+  return order == 0 ? sealed.best : sealed.led;
+}
+
 static void
 propose_primary (ToCore *core, GmTime now, guint64 when, const CsGroup *group,
                  GroupProgress *progress, const CsDatabase *best)
@@ -657,16 +706,10 @@
                     "an earlier order was carried out late");
       return;
     }
-  const CsDatabase *best;
-  guint sealed = seal_databases (core, now, state, group, progress, &best);
-  if (best == NULL)
-    return;
-  /* An acknowledged write is on at least two copies.  With at most one copy
-     missing, one of the sealed copies holds it.  */
-  if (sealed + 1 < cs_database_count (state, group->group)
-      && !GM_MUTANT (SEAL_ONE))
-    return;
-  propose_primary (core, now, when, group, progress, best);
+  seal_databases (core, now, state, group, progress);
+  const CsDatabase *best = complete_copy (core, now, state, group);
+  if (best != NULL)
+    propose_primary (core, now, when, group, progress, best);
 }
 
 /* Whether CHOSEN reports itself as primary; starts a status call if not.
--- a/lib/failover/takeover.h
+++ b/lib/failover/takeover.h
@@ -22,8 +22,11 @@
    Any answer, even that the database is busy, shows that the primary is alive.
 
    A replica that can't be sealed may hold an acknowledged write that the
-   others lack.  The leader chooses only when all copies but one are sealed:
-   an acknowledged write is on two copies, so on at least one of these.
+   others lack.  The leader chooses only when all copies other than the last
+   primary are sealed, also those beyond the declared number, as during a
+   rolling replacement.  A copy that is out of sight is one of them.  While one
+   can't be sealed, the last primary may be chosen again once it has stepped
+   down: it has every write that it acknowledged.
 
    This module uses no clock and no sockets: the caller runs the calls and
    orders and reports how they ended.  */
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -150,6 +150,10 @@
    are refused.  */
 #define WM_CMD_DATABASE_LEFT(U, S, B) \
   S (id) U (incarnation)
+/* The database has been out of sight for so long that nothing it holds counts
+   any more.  */
+#define WM_CMD_DATABASE_LOST(U, S, B) \
+  S (id) U (incarnation)
 #define WM_CMD_TERM(U, S, B) \
   S (group) U (term) S (reason) U (when)
 #define WM_CMD_PRIMARY(U, S, B) \
@@ -173,6 +177,8 @@
   S (host) S (disk) S (address) U (voter)
 #define WM_REC_SNAPSHOT(U, S, B) \
   U (index) U (term) B (members) B (data)
+#define WM_REC_MISSING(U, S, B) \
+  S (id) S (group) S (address) U (incarnation)
 
 /* clang-format on */
 
@@ -218,7 +224,9 @@
   M (REC_ENTRY, rec_entry)                                                    \
   M (REC_VOTE, rec_vote)                                                      \
   M (REC_MEMBER, rec_member)                                                  \
-  M (REC_SNAPSHOT, rec_snapshot)
+  M (REC_SNAPSHOT, rec_snapshot)                                              \
+  M (CMD_DATABASE_LOST, cmd_database_lost)                                    \
+  M (REC_MISSING, rec_missing)
 
 typedef enum
 {
--- a/standin/replicas.c
+++ b/standin/replicas.c
@@ -26,21 +26,22 @@
 {
   memset (g, 0, sizeof *g);
   g->violation = violation;
+  g->copies = MD_DATABASES;
   g->newest_term = 1;
   g->acknowledged = g_array_new (FALSE, FALSE, sizeof (MdAck));
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < MD_COPIES_MAX; i++)
     {
       MdDatabase *d = &g->databases[i];
       g_snprintf (d->id, sizeof d->id, "db%u", i);
       d->incarnation = 1;
-      d->up = TRUE;
+      d->up = d->exists = i < MD_DATABASES;
       d->primary = i == 0;
       d->term = 1;
       d->log = g_ptr_array_new_with_free_func ((GDestroyNotify)commit_free);
     }
   /* The log of a group begins with one entry, since position 0 means that no
      position is known.  */
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < g->copies; i++)
     {
       MdCommit *first = g_new0 (MdCommit, 1);
       first->term = 1;
@@ -53,7 +54,7 @@
 void
 md_clear (MdGroup *g)
 {
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < MD_COPIES_MAX; i++)
     g_ptr_array_unref (g->databases[i].log);
   g_array_unref (g->acknowledged);
 }
@@ -119,7 +120,7 @@
 static MdDatabase *
 current_primary (MdGroup *g)
 {
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < g->copies; i++)
     if (g->databases[i].primary && g->databases[i].term == g->newest_term)
       return &g->databases[i];
   return NULL;
@@ -137,11 +138,10 @@
 {
   const MdDatabase *primary = current_primary (g);
   /* A replaced primary hears of its successor once they are connected.  */
-  for (guint i = 0; g->deposed_serves && primary != NULL && i < MD_DATABASES;
-       i++)
+  for (guint i = 0; g->deposed_serves && primary != NULL && i < g->copies; i++)
     if (random == NULL || gm_random_below (random, HEARS_OF_SUCCESSOR) == 0)
       step_down (&g->databases[i], primary->term);
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < g->copies; i++)
     {
       MdDatabase *d = &g->databases[i];
       if (primary != NULL && primary->up && can_receive (d, primary)
@@ -164,9 +164,9 @@
   g_ptr_array_add (d->log, commit);
   d->applied = d->log->len;
   gboolean confirmed = FALSE;
-  for (guint i = 0; i < MD_DATABASES && !confirmed; i++)
+  for (guint i = 0; i < g->copies && !confirmed; i++)
     {
-      MdDatabase *replica = &g->databases[(i + d->log->len) % MD_DATABASES];
+      MdDatabase *replica = &g->databases[(i + d->log->len) % g->copies];
       if (!can_receive (replica, d))
         continue;
       copy_log (replica, d);
@@ -228,7 +228,7 @@
 static MdDatabase *
 find_database (MdGroup *g, const char *id)
 {
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < g->copies; i++)
     if (strcmp (g->databases[i].id, id) == 0)
       return &g->databases[i];
   return NULL;
@@ -265,10 +265,10 @@
   chosen->primary = TRUE;
   chosen->term = g->newest_term;
   chosen->sealed_term = 0;
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < g->copies; i++)
     g->databases[i].receive_paused = FALSE;
   chosen->applied = chosen->log->len;
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < g->copies; i++)
     if (&g->databases[i] != chosen)
       {
         MdDatabase *other = &g->databases[i];
@@ -301,6 +301,28 @@
   d->primary = d->primary && d->term == g->newest_term;
 }
 
+void
+md_join (MdDatabase *d)
+{
+  g_ptr_array_set_size (d->log, 0);
+  d->applied = 0;
+  d->term = 0;
+  d->sealed_term = 0;
+  d->primary = FALSE;
+  d->receive_paused = FALSE;
+  d->incarnation++;
+  d->up = d->exists = TRUE;
+}
+
+void
+md_leave (MdDatabase *d)
+{
+  d->up = d->exists = FALSE;
+  d->primary = FALSE;
+  g_ptr_array_set_size (d->log, 0);
+  d->applied = 0;
+}
+
 gboolean
 md_control_call (MdDatabase *d, FoCall call, guint64 term,
                  FoDatabaseStatus *status)
--- a/standin/replicas.h
+++ b/standin/replicas.h
@@ -11,6 +11,7 @@
 #include "token/token.h"
 
 #define MD_DATABASES 3
+#define MD_COPIES_MAX 4 /* while one is replaced, both run */
 #define MD_ID_MAX 64
 
 typedef struct
@@ -23,6 +24,7 @@
 {
   char id[MD_ID_MAX];
   guint64 incarnation;
+  gboolean exists; /* FALSE: not started yet, or left for good */
   gboolean up;
   gboolean primary;
   guint64 term;
@@ -42,7 +44,8 @@
 
 typedef struct
 {
-  MdDatabase databases[MD_DATABASES];
+  MdDatabase databases[MD_COPIES_MAX];
+  guint copies; /* of databases, that are in use; MD_DATABASES at first */
   guint64 newest_term;
   guint64 fencing_token; /* highest accepted fencing token */
   char token_holder[32]; /* who used it */
@@ -83,6 +86,10 @@
 gboolean md_promote (MdGroup *group, const char *id, guint64 token);
 void md_crash (MdGroup *group, MdDatabase *d);
 void md_start (MdGroup *group, MdDatabase *d);
+/* Starts the database D, which does not exist, as an empty replica.  */
+void md_join (MdDatabase *d);
+/* Ends the database D for good; its log is gone.  */
+void md_leave (MdDatabase *d);
 /* Returns the highest position acknowledged before AT.  */
 TkPoint md_highest_acknowledged (const MdGroup *group, GmTime at);
 /* Returns whether the write UID was acknowledged.  */
--- a/tests/fuzz/session_control.c
+++ b/tests/fuzz/session_control.c
@@ -26,7 +26,7 @@
 set_witnesses (World *w, Pool *pool)
 {
   g_autoptr (GPtrArray) others = g_ptr_array_new ();
-  for (guint i = 0; w->group.deposed_serves && i < MD_DATABASES; i++)
+  for (guint i = 0; w->group.deposed_serves && i < w->group.copies; i++)
     if (pool->database != &w->group.databases[i])
       g_ptr_array_add (others, w->group.databases[i].id);
   pl_set_witnesses (pool->core, w->now, others, others->len > 0 ? 1 : 0,
@@ -86,7 +86,7 @@
       cs_free (host->state);
       host->state = cs_decode (news->version, news->block);
       sr_state_changed (host->router, host->state);
-      for (guint i = 0; i < MD_DATABASES; i++)
+      for (guint i = 0; i < w->group.copies; i++)
         update_pool (w, host, &host->pools[i]);
     }
   g_bytes_unref (news->block);
@@ -115,10 +115,16 @@
 void
 sw_announce (World *w, const MdDatabase *d)
 {
+  g_autofree char *address
+      = g_strdup_printf ("127.0.0.1:%u", 10 + (guint)(d - w->group.databases));
+  gboolean leaving = d == w->leaving;
+  if (d == w->unseen)
+    return;
   WmMessage m = { .type = WM_TYPE_CMD_DATABASE,
                   .cmd_database = { .id = (char *)d->id,
                                     .group = (char *)"g",
-                                    .address = (char *)"127.0.0.1:1",
+                                    .address = address,
+                                    .leaving = leaving ? 1 : 0,
                                     .data_centre = (char *)"dc0",
                                     .slots = 2,
                                     .connections = 20,
@@ -126,7 +132,8 @@
                                     .term = d->primary ? 1 : 0,
                                     .primary = d->primary ? 1 : 0 } };
   const CsDatabase *known = g_hash_table_lookup (w->state->databases, d->id);
-  if (known == NULL || known->incarnation != d->incarnation)
+  if (known == NULL || known->incarnation != d->incarnation
+      || known->leaving != leaving)
     sw_commit (w, &m);
   to_heartbeat (w->leader, w->now, &m.cmd_database);
 }
@@ -156,7 +163,7 @@
 static MdDatabase *
 database_of (World *w, const char *id)
 {
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < w->group.copies; i++)
     if (strcmp (w->group.databases[i].id, id) == 0)
       return &w->group.databases[i];
   return NULL;
@@ -184,8 +191,8 @@
   FoDatabaseStatus status;
   if (a->type == TO_CALL)
     {
-      gboolean answered
-          = d->up && !lost && md_control_call (d, a->call, a->term, &status);
+      gboolean answered = d->up && d != w->unseen && !lost
+                          && md_control_call (d, a->call, a->term, &status);
       if (duty->round == w->round)
         to_call_done (w->leader, w->now, a->id, answered,
                       answered ? &status : NULL);
@@ -242,7 +249,7 @@
 report (World *w, Host *host)
 {
   GByteArray *out = g_byte_array_new ();
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < w->group.copies; i++)
     {
       PlHealth h;
       if (host->pools[i].core == NULL)
@@ -271,7 +278,7 @@
 start_database (World *w, gpointer data)
 {
   MdDatabase *d = data;
-  if (!d->up)
+  if (d->exists && !d->up)
     md_start (&w->group, d);
 }
 
@@ -282,7 +289,7 @@
     return;
   md_crash (&w->group, d);
   for (guint i = 0; i < HOSTS; i++)
-    for (guint j = 0; j < MD_DATABASES; j++)
+    for (guint j = 0; j < MD_COPIES_MAX; j++)
       {
         Pool *pool = &w->hosts[i].pools[j];
         if (pool->database != d || pool->core == NULL)
@@ -307,7 +314,7 @@
   for (guint i = 0; i < SESSIONS; i++)
     if (w->callers[i].host == from && w->callers[i].sequence != 0)
       sw_lose_statement (w, &w->callers[i]);
-  for (guint j = 0; j < MD_DATABASES; j++)
+  for (guint j = 0; j < MD_COPIES_MAX; j++)
     {
       Pool *pool = &to->pools[j];
       if (pool->core == NULL)
@@ -341,7 +348,7 @@
 reconnect_peers (World *w, gpointer data)
 {
   (void)data;
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < w->group.copies; i++)
     w->group.databases[i].receive_paused = FALSE;
 }
 
@@ -350,23 +357,101 @@
 static void
 split (World *w, Host *host)
 {
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < w->group.copies; i++)
     w->group.databases[i].receive_paused = TRUE;
   sw_at (w, w->now + 1500 * GM_MS, reconnect_peers, NULL);
   host->cut_off_until = w->now + 2 * GM_SECOND + sw_delay (w, 2 * GM_SECOND);
 }
 
+/* The database that was replaced ends.  */
+static void
+end_release (World *w, gpointer data)
+{
+  (void)data;
+  MdDatabase *old = w->leaving;
+  WmMessage m = { .type = WM_TYPE_CMD_DATABASE_LEFT,
+                  .cmd_database_left
+                  = { .id = old->id, .incarnation = old->incarnation } };
+  crash_database (w, old);
+  md_leave (old);
+  sw_commit (w, &m);
+  w->leaving = NULL;
+  w->joining = NULL;
+}
+
+/* The new database runs; the one that it replaces, in most cases the primary,
+   says that it leaves.  */
+static void
+leave (World *w, gpointer data)
+{
+  (void)data;
+  const CsGroup *group = cs_group (w->state, "g");
+  gboolean primary = sw_chance (w, 700);
+  for (guint i = 0; i < w->group.copies; i++)
+    {
+      MdDatabase *d = &w->group.databases[i];
+      gboolean leads = strcmp (group->primary, d->id) == 0;
+      if (d->exists && d != w->joining
+          && (w->leaving == NULL || leads == primary))
+        w->leaving = d;
+    }
+  sw_at (w, w->now + 3 * GM_SECOND + sw_delay (w, 3 * GM_SECOND), end_release,
+         NULL);
+}
+
+static void
+start_release (World *w)
+{
+  for (guint i = 0; i < w->group.copies; i++)
+    if (!w->group.databases[i].exists)
+      w->joining = &w->group.databases[i];
+  md_join (w->joining);
+  sw_at (w, w->now + 700 * GM_MS + sw_delay (w, 600 * GM_MS), leave, NULL);
+}
+
+static void
+see_again (World *w, gpointer data)
+{
+  (void)data;
+  w->unseen = NULL;
+}
+
+/* D is cut off from control for so long that it counts as down, but not from
+   the other databases.  */
+static void
+lose_sight (World *w, MdDatabase *d)
+{
+  WmMessage m = { .type = WM_TYPE_CMD_DATABASE_DOWN,
+                  .cmd_database_down
+                  = { .id = d->id, .incarnation = d->incarnation } };
+  w->unseen = d;
+  sw_commit (w, &m);
+  sw_at (w, w->now + 2 * GM_SECOND + sw_delay (w, 3 * GM_SECOND), see_again,
+         NULL);
+}
+
+static void
+inject_changes (World *w, MdDatabase *d)
+{
+  const CsGroup *group = cs_group (w->state, "g");
+  if (sw_chance (w, 3) && w->joining == NULL)
+    start_release (w);
+  if (sw_chance (w, 3) && w->unseen == NULL && d->exists && d != w->leaving
+      && strcmp (group->primary, d->id) != 0)
+    lose_sight (w, d);
+}
+
 static void
 inject_faults (World *w)
 {
   Host *a = &w->hosts[gm_random_below (&w->random, HOSTS)];
   Host *b = &w->hosts[gm_random_below (&w->random, HOSTS)];
   MdDatabase *d
-      = &w->group.databases[gm_random_below (&w->random, MD_DATABASES)];
+      = &w->group.databases[gm_random_below (&w->random, w->group.copies)];
   guint down = 0;
-  for (guint i = 0; i < MD_DATABASES; i++)
-    down += w->group.databases[i].up ? 0 : 1;
-  if (sw_chance (w, 6) && down == 0)
+  for (guint i = 0; i < w->group.copies; i++)
+    down += w->group.databases[i].exists && !w->group.databases[i].up ? 1 : 0;
+  if (sw_chance (w, 6) && down == 0 && d->exists)
     crash_database (w, d);
   if (sw_chance (w, 5))
     d->receive_paused = !d->receive_paused;
@@ -374,7 +459,7 @@
      the primary is being replaced.  */
   if (sw_chance (w, 2))
     {
-      for (guint i = 0; i < MD_DATABASES; i++)
+      for (guint i = 0; i < w->group.copies; i++)
         w->group.databases[i].receive_paused = TRUE;
       sw_at (w, w->now + 900 * GM_MS + sw_delay (w, 900 * GM_MS),
              reconnect_peers, NULL);
@@ -387,6 +472,8 @@
     change_leader (w);
   if (sw_chance (w, 3))
     sw_announce_host (w, a, gm_random_below (&w->random, 2) == 0);
+  if (w->releases)
+    inject_changes (w, d);
 }
 
 void
@@ -398,7 +485,7 @@
     inject_faults (w);
   for (guint i = 0; i < HOSTS; i++)
     {
-      for (guint j = 0; j < MD_DATABASES; j++)
+      for (guint j = 0; j < MD_COPIES_MAX; j++)
         if (w->hosts[i].pools[j].core != NULL)
           {
             pl_tick (w->hosts[i].pools[j].core, w->now);
@@ -407,7 +494,7 @@
           }
       report (w, &w->hosts[i]);
     }
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < w->group.copies; i++)
     if (w->group.databases[i].up)
       sw_announce (w, &w->group.databases[i]);
   run_leader (w);
--- a/tests/fuzz/session_pools.c
+++ b/tests/fuzz/session_pools.c
@@ -116,7 +116,7 @@
   Question *q = g_new0 (Question, 1);
   q->pool = pool;
   q->generation = pool->generation;
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < w->group.copies; i++)
     if (strcmp (w->group.databases[i].id, id) == 0)
       q->witness = &w->group.databases[i];
   sw_at (w, w->now + sw_delay (w, 5 * GM_MS), question_arrives, q);
@@ -208,7 +208,7 @@
   const struct wm_statement *m = &parcel->message.statement;
   Host *host = parcel->to;
   Pool *pool = NULL;
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < w->group.copies; i++)
     if (strcmp (host->pools[i].database->id, m->database) == 0)
       pool = &host->pools[i];
   gboolean known
--- a/tests/fuzz/sessions.c
+++ b/tests/fuzz/sessions.c
@@ -2,7 +2,8 @@
    random faults.  The model databases record every write and report
    violations.  A seed determines the whole schedule.
 
-   sessions --seed N [--seeds M] [--steps S] [--deposed-serves]  */
+   sessions --seed N [--seeds M] [--steps S] [--deposed-serves] [--releases]
+ */
 #include "sessions.h"
 #include <argtable2.h>
 #include <stdio.h>
@@ -71,7 +72,7 @@
 }
 
 static void
-world_init (World *w, guint64 seed, gboolean deposed_serves)
+world_init (World *w, guint64 seed, gboolean deposed_serves, gboolean releases)
 {
   static const char *const services[] = { "primary", "session", "bounded" };
   memset (w, 0, sizeof *w);
@@ -83,6 +84,9 @@
   w->events = g_sequence_new (g_free);
   md_init (&w->group, sw_violation);
   w->group.deposed_serves = deposed_serves;
+  w->releases = releases;
+  if (releases)
+    w->group.copies = MD_COPIES_MAX;
   w->state = cs_new ();
   w->statements = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                          statement_free);
@@ -100,7 +104,7 @@
       host->state = cs_new ();
       host->liveness = lv_new ();
       host->router = sr_new (host->name, "dc0", host->liveness);
-      for (guint j = 0; j < MD_DATABASES; j++)
+      for (guint j = 0; j < MD_COPIES_MAX; j++)
         host->pools[j] = (Pool){
           .host = host,
           .database = &w->group.databases[j],
@@ -159,7 +163,7 @@
 {
   GmTime end = w->now + SETTLE_TIME;
   w->faults_ended = TRUE;
-  for (guint i = 0; i < MD_DATABASES; i++)
+  for (guint i = 0; i < w->group.copies; i++)
     w->group.databases[i].receive_paused = FALSE;
   for (guint i = 0; i < HOSTS; i++)
     sw_announce_host (w, &w->hosts[i], TRUE);
@@ -183,11 +187,12 @@
 }
 
 static gboolean
-run_seed (guint64 seed, guint64 steps, gboolean deposed_serves)
+run_seed (guint64 seed, guint64 steps, gboolean deposed_serves,
+          gboolean releases)
 {
   World *w = g_new0 (World, 1);
   first_violation = NULL;
-  world_init (w, seed, deposed_serves);
+  world_init (w, seed, deposed_serves, releases);
   while (w->steps < steps && step (w))
     ;
   guint64 served = w->answers[GM_OK];
@@ -211,8 +216,10 @@
   struct arg_int *steps = arg_int0 (NULL, "steps", "N", "statements a seed");
   struct arg_lit *serves = arg_lit0 (
       NULL, "deposed-serves", "a replaced primary serves until it steps down");
+  struct arg_lit *releases = arg_lit0 (
+      NULL, "releases", "databases are replaced, and out of sight at times");
   struct arg_end *end = arg_end (4);
-  void *table[] = { seed, seeds, steps, serves, end };
+  void *table[] = { seed, seeds, steps, serves, releases, end };
   seed->ival[0] = 1;
   seeds->ival[0] = 1;
   steps->ival[0] = 4000;
@@ -224,7 +231,8 @@
   guint violations = 0;
   for (int i = 0; i < seeds->ival[0]; i++)
     violations += run_seed ((guint64)seed->ival[0] + (guint64)i,
-                            (guint64)steps->ival[0], serves->count > 0)
+                            (guint64)steps->ival[0], serves->count > 0,
+                            releases->count > 0)
                       ? 0
                       : 1;
   printf ("seeds=%d violations=%u\n", seeds->ival[0], violations);
--- a/tests/fuzz/sessions.h
+++ b/tests/fuzz/sessions.h
@@ -42,8 +42,8 @@
   SrRouter *router;
   LvCore *liveness;
   guint64 transactions;
-  GmTime cut_off_until;     /* no news of the control state until then */
-  Pool pools[MD_DATABASES]; /* core NULL: this host has no pool there */
+  GmTime cut_off_until;      /* no news of the control state until then */
+  Pool pools[MD_COPIES_MAX]; /* core NULL: this host has no pool there */
 };
 
 typedef struct
@@ -96,6 +96,10 @@
   guint64 answers[GM_KIND_COUNT];
   guint promotions;
   gboolean faults_ended; /* no new faults are injected */
+  gboolean releases;     /* databases are replaced, or out of sight, too */
+  MdDatabase *joining;   /* of the replacement in progress, or NULL */
+  MdDatabase *leaving;
+  MdDatabase *unseen; /* control neither hears nor reaches it; or NULL */
 };
 
 /* A message in flight between two hosts.  */
@@ -137,7 +141,8 @@
 /* Commits COMMAND to the control state; the hosts receive the new state
    later.  */
 void sw_commit (World *w, const WmMessage *command);
-/* Announces D or HOST to the control leader; POOL: HOST offers pools.  */
+/* Announces D or HOST to the control leader; POOL: HOST offers pools.  A
+   database that is out of sight is not announced.  */
 void sw_announce (World *w, const MdDatabase *d);
 void sw_announce_host (World *w, const Host *host, gboolean pool);
 /* Event, every TICK_INTERVAL: replication, faults, timers of the cores.  */
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -30,24 +30,44 @@
   cs_apply (b->state, b->state->version + 1, m, NULL);
 }
 
+/* Announces the database ID, which runs in the place PLACE since
+   INCARNATION.  */
 static void
-add_database (Bench *b, guint i, gboolean leaving)
+announce (Bench *b, const char *id, guint place, guint64 incarnation,
+          gboolean leaving, gboolean primary)
 {
-  g_autofree char *id = g_strdup_printf ("db%u", i);
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", place + 2);
   WmMessage m = { .type = WM_TYPE_CMD_DATABASE,
-                  .cmd_database = { .id = id,
+                  .cmd_database = { .id = (char *)id,
                                     .group = (char *)"g",
-                                    .address = (char *)"127.0.0.1:2",
+                                    .address = address,
                                     .data_centre = (char *)"dc",
                                     .slots = 2,
-                                    .incarnation = 1,
+                                    .incarnation = incarnation,
                                     .leaving = leaving ? 1 : 0,
                                     .term = 1,
-                                    .primary = i == 0 ? 1 : 0 } };
+                                    .primary = primary ? 1 : 0 } };
   commit (b, &m);
   to_heartbeat (b->core, b->now, &m.cmd_database);
 }
 
+static void
+add_database (Bench *b, guint i, gboolean leaving)
+{
+  g_autofree char *id = g_strdup_printf ("db%u", i);
+  announce (b, id, i, 1, leaving, i == 0);
+}
+
+/* The database ID is out of sight.  */
+static void
+lose_sight (Bench *b, const char *id)
+{
+  WmMessage m
+      = { .type = WM_TYPE_CMD_DATABASE_DOWN,
+          .cmd_database_down = { .id = (char *)id, .incarnation = 1 } };
+  commit (b, &m);
+}
+
 static Bench
 bench_new (void)
 {
@@ -300,6 +320,91 @@
     }
 }
 
+/* A copy beyond the declared three, as during a rolling replacement, may alone
+   have received the last acknowledged writes, and so may one that is out of
+   sight.  Guards against a promotion that loses acknowledged commits.
+
+   Positions of the sealed databases (0: not reachable) after db3 has joined.
+   MISSING is out of sight and ended for certain if ENDED: its place is taken
+   by a database that started later.  */
+static const struct
+{
+  guint64 db0;
+  guint64 db1;
+  guint64 db2;
+  guint64 db3;
+  const char *missing;
+  gboolean ended;
+  const char *promoted;
+} fourth_copy_cases[] = {
+  { 0, 40, 40, 0, NULL, FALSE, "" }, /* db3 may have more */
+  { 0, 40, 0, 41, NULL, FALSE, "" },
+  { 0, 40, 40, 41, NULL, FALSE, "db3" },
+  { 41, 40, 40, 0, NULL, FALSE,
+    "db0" }, /* the last primary has stepped down */
+  { 40, 40, 0, 0, NULL, FALSE, "db1" },
+  { 39, 40, 0, 0, NULL, FALSE, "" }, /* it has lost its log */
+  { 0, 40, 0, 40, "db2", FALSE, "" },
+  { 0, 40, 0, 41, "db2", TRUE, "" }, /* the one in its place isn't sealed */
+  { 41, 40, 0, 40, "db2", FALSE, "db0" },
+};
+
+static void
+test_fourth_copy (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (fourth_copy_cases); i++)
+    {
+      Bench b = bench_new ();
+      add_database (&b, 3, FALSE);
+      if (fourth_copy_cases[i].missing != NULL)
+        lose_sight (&b, fourth_copy_cases[i].missing);
+      if (fourth_copy_cases[i].ended)
+        announce (&b, "db4", 2, 2, FALSE, FALSE);
+      silence_primary (&b);
+      b.now += 10 * GM_SECOND;
+      const guint64 positions[]
+          = { fourth_copy_cases[i].db0, fourth_copy_cases[i].db1,
+              fourth_copy_cases[i].db2, fourth_copy_cases[i].db3 };
+      for (guint k = 0; k < G_N_ELEMENTS (positions); k++)
+        {
+          g_autofree char *id = g_strdup_printf ("db%u", k);
+          if (positions[k] > 0)
+            answer_seal (&b, id, 1, positions[k]);
+        }
+      tick (&b);
+      g_assert_cmpstr (primary (&b), ==, fourth_copy_cases[i].promoted);
+      bench_free (&b);
+    }
+}
+
+/* One replica is gone for good, and the primary crashes and comes back with
+   its log, as primary and under a new name.  It steps down and is sealed, and
+   the group gets a primary.  Guards against a group that stays without one. */
+static void
+test_primary_returns (void)
+{
+  Bench b = bench_new ();
+  silence_primary (&b);
+  lose_sight (&b, "db2");
+  lose_sight (&b, "db0");
+  answer_seal (&b, "db1", 1, 40);
+  tick (&b);
+  g_assert_cmpstr (primary (&b), ==, "");
+  announce (&b, "db4", 0, 2, FALSE, TRUE);
+  FoDatabaseStatus leads = { .primary = TRUE, .term = 1, .received = 41 };
+  b.now += TO_OLD_PRIMARY_DELAY;
+  to_call_done (b.core, b.now, "db4", TRUE, &leads);
+  b.now += TO_CALL_RETRY;
+  b.calls[FO_CALL_STEP_DOWN] = 0;
+  tick (&b);
+  g_assert_cmpuint (b.calls[FO_CALL_STEP_DOWN], ==, 1);
+  answer_seal (&b, "db4", 1, 41);
+  answer_seal (&b, "db1", 1, 40);
+  tick (&b);
+  g_assert_cmpstr (primary (&b), ==, "db4");
+  bench_free (&b);
+}
+
 /* Each promotion order has its own token: an order without a clear answer may
    still be carried out, and only a higher token fences it off.  */
 static void
@@ -611,6 +716,8 @@
   g_test_add_func ("/takeover/asked-early", test_early_probe);
   g_test_add_func ("/takeover/unreported", test_unreported);
   g_test_add_func ("/takeover/choice", test_choice);
+  g_test_add_func ("/takeover/fourth-copy", test_fourth_copy);
+  g_test_add_func ("/takeover/primary-returns", test_primary_returns);
   g_test_add_func ("/takeover/tokens", test_tokens);
   g_test_add_func ("/takeover/next-leader", test_next_leader);
   g_test_add_func ("/takeover/settled", test_settled);
