An address is accepted only if a socket can use it

Cause: cf_address_parse checked the text's form only. No socket address can be made of it, g_socket_connect with NULL sets no error, and its message was read through NULL.

--- a/daemon/http.c
+++ b/daemon/http.c
@@ -14,6 +14,9 @@
   g_autoptr (GError) error = NULL;
   g_autoptr (GSocketAddress) requested
       = g_inet_socket_address_new_from_string (address->ip, address->port);
+  if (requested == NULL)
+    return gm_fail (status, GM_INVALID, "%s: not a usable IP address",
+                    address->ip);
   g_autoptr (GSocket) socket
       = g_socket_new (g_socket_address_get_family (requested),
                       G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
--- a/lib/conf/settings.c
+++ b/lib/conf/settings.c
@@ -150,14 +150,27 @@
     return FALSE;
   GNetworkAddress *network = G_NETWORK_ADDRESS (parsed);
   const char *ip = g_network_address_get_hostname (network);
-  if (!g_hostname_is_ip_address (ip))
+  guint16 port = g_network_address_get_port (network);
+  /* An IPv6 address may name a network interface that does not exist.  */
+  g_autoptr (GSocketAddress) usable
+      = g_hostname_is_ip_address (ip)
+            ? g_inet_socket_address_new_from_string (ip, port)
+            : NULL;
+  if (usable == NULL)
     return FALSE;
   g_free (address->ip);
   address->ip = g_strdup (ip);
-  address->port = g_network_address_get_port (network);
+  address->port = port;
   return TRUE;
 }
 
+gboolean
+cf_address_is_ipv4 (const CfAddress *address)
+{
+  g_autoptr (GInetAddress) ip = g_inet_address_new_from_string (address->ip);
+  return ip != NULL && g_inet_address_get_family (ip) == G_SOCKET_FAMILY_IPV4;
+}
+
 static GmKind
 read_address (const JsDocument *document, const char *path, const char *text,
               CfAddress *address, GmStatus *status)
--- a/lib/conf/settings.h
+++ b/lib/conf/settings.h
@@ -80,5 +80,8 @@
 void cf_settings_free (CfSettings *settings);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (CfSettings, cf_settings_free)
 /* Parses "IP:port" into ADDRESS, whose former IP is freed.  Host names are
-   refused.  Returns FALSE when TEXT is not an IP address and a port.  */
+   refused, and so is an address of a network interface that this host does
+   not have.  Returns FALSE when TEXT is not an IP address and a port.  */
 gboolean cf_address_parse (const char *text, CfAddress *address);
+/* Whether ADDRESS is an IPv4 address.  */
+gboolean cf_address_is_ipv4 (const CfAddress *address);
--- a/lib/wire/stream.c
+++ b/lib/wire/stream.c
@@ -266,15 +266,28 @@
   return stream;
 }
 
+/* Returns ADDRESS as a socket address, or NULL with ERROR set when it is no
+   IPv4 address: the sockets here are IPv4 sockets.  */
+static GSocketAddress *
+ipv4_address (const CfAddress *address, GError **error)
+{
+  if (cf_address_is_ipv4 (address))
+    return g_inet_socket_address_new_from_string (address->ip, address->port);
+  g_set_error (error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT,
+               "%s is not an IPv4 address", address->ip);
+  return NULL;
+}
+
 NsStream *
 ns_connect (const CfAddress *address, guint user_timeout_ms,
             const NsHandler *handler, gpointer owner)
 {
   g_autoptr (GError) error = NULL;
-  g_autoptr (GSocketAddress) to
-      = g_inet_socket_address_new_from_string (address->ip, address->port);
-  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                                  G_SOCKET_PROTOCOL_TCP, &error);
+  g_autoptr (GSocketAddress) to = ipv4_address (address, &error);
+  GSocket *socket
+      = to != NULL ? g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                   G_SOCKET_PROTOCOL_TCP, &error)
+                   : NULL;
   NsStream *stream = stream_new (socket, user_timeout_ms, handler, owner);
   stream->connecting = TRUE;
   gboolean started
@@ -306,10 +319,12 @@
            GmStatus *status)
 {
   g_autoptr (GError) error = NULL;
-  g_autoptr (GSocketAddress) wanted
-      = g_inet_socket_address_new_from_string (address->ip, address->port);
-  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                                  G_SOCKET_PROTOCOL_TCP, &error);
+  g_autoptr (GSocketAddress) wanted = ipv4_address (address, &error);
+  GSocket *socket
+      = wanted != NULL
+            ? g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                            G_SOCKET_PROTOCOL_TCP, &error)
+            : NULL;
   if (socket != NULL)
     g_socket_set_listen_backlog (socket, LISTEN_BACKLOG);
   if (socket == NULL || !g_socket_bind (socket, wanted, TRUE, &error)
--- a/tests/test_conf.c
+++ b/tests/test_conf.c
@@ -93,6 +93,33 @@
     }
 }
 
+static const struct
+{
+  const char *text;
+  gboolean good;
+} addresses[] = {
+  { "127.0.0.1:80", TRUE },  { "[::1]:80", TRUE },
+  { "127.0.0.1", TRUE },     { "[fe80::1%nic9]:80", FALSE },
+  { "localhost:80", FALSE }, { "127.0.0.1:65536", FALSE },
+  { "127.0.0:80", FALSE },   { "", FALSE },
+  { "%:80", FALSE },         { "[]:80", FALSE },
+  { "[::1:80", FALSE },      { "127.0.0.1:80:80", FALSE },
+};
+
+/* Every address that is accepted can be turned into a socket address: one that
+   can't ended the process that connected to it.  */
+static void
+test_addresses (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      CfAddress address = { 0 };
+      g_assert_cmpint (cf_address_parse (addresses[i].text, &address), ==,
+                       addresses[i].good);
+      g_free (address.ip);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -108,5 +135,6 @@
       g_test_add_data_func_full (test, path, check_file, g_free);
     }
   g_test_add_func ("/settings/take", test_settings_take);
+  g_test_add_func ("/settings/addresses", test_addresses);
   return g_test_run ();
 }
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -200,12 +200,38 @@
   stop_server (&state, server, &address);
 }
 
+/* Addresses that an earlier version let into the control state.  */
+static const char *const unusable_addresses[]
+    = { "fe80::1%nic9", "::1", "localhost", "" };
+
+/* Dialing an address of no use fails like any other dial: it ended the
+   process.  */
+static void
+test_unusable_address (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (unusable_addresses); i++)
+    {
+      TestState state = { .loop = g_main_loop_new (NULL, FALSE) };
+      CfAddress address = { (char *)unusable_addresses[i], 80 };
+      LkLink *link = lk_dial (&address, &dialer_self, &handler, &state);
+      run_until_event (&state);
+      g_assert_cmpuint (state.down, ==, 1);
+      lk_close (link);
+      GmStatus status;
+      g_assert_null (
+          lk_listen (&address, &server_self, &handler, &state, &status));
+      g_assert_cmpint (status.kind, ==, GM_IO);
+      g_main_loop_unref (state.loop);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/link/message", test_message);
   g_test_add_func ("/link/wrong-key", test_wrong_key);
+  g_test_add_func ("/link/unusable-address", test_unusable_address);
   g_test_add_func ("/link/back-pressure", test_back_pressure);
   for (gsize i = 0; i < G_N_ELEMENTS (invalid_inputs); i++)
     {
