A control host whose disk failed takes part again when the disk does

Cause: cl_check_stored stopped the log for good on any failed write; the process stayed and never tried again.

Change: such a host gives up the lead and is silent in the group. Entries whose write failed leave the log in memory. GM306 and the metric control_log_stopped tell the state.

Why it works: all that a host has confirmed is in memory, and new files that were synced don't depend on what a failed sync left in the page cache.

--- a/lib/clog/clog.c
+++ b/lib/clog/clog.c
@@ -25,20 +25,44 @@
   return entry != NULL ? entry->term : 0;
 }
 
-static void
-fail_permanently (ClCore *core, const GmStatus *status)
+gboolean
+cl_check_stored (ClCore *core, GmKind kind, const GmStatus *status)
 {
+  if (kind == GM_OK)
+    return TRUE;
   core->failure = *status;
+  core->restore_due = 0;
   core->role = CL_FOLLOWER;
   g_clear_pointer (&core->leader, g_free);
+  return FALSE;
 }
 
-gboolean
-cl_check_stored (ClCore *core, GmKind kind, const GmStatus *status)
+/* Writes all that this host holds to its failed store.  After a failed sync, a
+   read may show what the disk does not hold, so nothing is read back.  */
+static void
+restore_store (ClCore *core, GmTime now)
 {
-  if (kind != GM_OK)
-    fail_permanently (core, status);
-  return kind == GM_OK;
+  g_autoptr (GBytes) members = cl_members_encode (core->snapshot_members);
+  ClStoreContents contents = { .term = core->term,
+                               .vote = core->voted_for,
+                               .snapshot_index = core->snapshot_index,
+                               .snapshot_term = core->snapshot_term,
+                               .members = members,
+                               .data = core->snapshot,
+                               .entries = core->entries };
+  GmStatus status;
+  if (core->restore_due == 0 || GM_MUTANT (STOPPED_FOR_GOOD))
+    core->restore_due = now + CL_STORE_RETRY;
+  if (now < core->restore_due)
+    return;
+  core->restore_due = now + CL_STORE_RETRY;
+  if (core->store->class->restore (core->store, &contents, &status) != GM_OK)
+    {
+      core->failure = status;
+      return;
+    }
+  gm_ok (&core->failure);
+  cl_reset_election_timer (core, now);
 }
 
 void
@@ -261,7 +285,10 @@
 cl_tick (ClCore *core, GmTime now)
 {
   if (core->failure.kind != GM_OK)
-    return;
+    {
+      restore_store (core, now);
+      return;
+    }
   if (core->role == CL_LEADER)
     {
       tick_leader (core, now);
--- a/lib/clog/clog.h
+++ b/lib/clog/clog.h
@@ -40,6 +40,10 @@
    a second of heavy load needs no snapshot.  */
 #define CL_TRAILING_ENTRIES 64
 #define CL_BATCH_MAX_BYTES (1024 * 1024)
+/* Between two attempts to write to a store that has failed.  Longer than an
+   election takes, so that a disk that fails at times leaves the lead to
+   others.  */
+#define CL_STORE_RETRY (1 * GM_SECOND)
 
 typedef enum
 {
@@ -91,6 +95,10 @@
   /* Replaces the snapshot, then drops the entries before index FIRST.  */
   GmKind (*snapshot) (ClStore *store, const ClStoreContents *snapshot,
                       guint64 first, GmStatus *status);
+  /* Replaces everything with CONTENTS, whatever the operations before have
+     left behind.  */
+  GmKind (*restore) (ClStore *store, const ClStoreContents *contents,
+                     GmStatus *status);
   void (*free) (ClStore *store);
 } ClStoreClass;
 
@@ -196,8 +204,10 @@
 gboolean cl_members_committed (const ClCore *core);
 /* Returns whether this host with this disk is a voter.  */
 gboolean cl_is_voter (const ClCore *core);
-/* Returns GM_OK, or the kind of the fault that stopped the log permanently,
-   and stores its message in STATUS.  */
+/* Returns GM_OK, or the kind of the fault that keeps the log from being
+   written, and stores its message in STATUS.  Meanwhile this host takes no
+   part in the group: it neither votes nor follows nor leads.  It takes part
+   again once everything that it has confirmed has been written anew.  */
 GmKind cl_failure (const ClCore *core, GmStatus *status);
 /* Returns the committed entries from index FIRST up to TO, encoded as a list
    of REC_ENTRY for a subscriber; stops early after CL_BATCH_MAX_BYTES.  NULL
--- a/lib/clog/core.h
+++ b/lib/clog/core.h
@@ -25,7 +25,8 @@
   char *address;
   ClStore *store;
   GmRandom random;
-  GmStatus failure;
+  GmStatus failure;   /* of the store; GM_OK: it can be written */
+  GmTime restore_due; /* when to write to the failed store again */
 
   ClRole role;
   guint64 term;
@@ -134,8 +135,8 @@
 ClEntry *cl_entry_at (const ClCore *core, guint64 index);
 /* Returns the term of the entry at INDEX, or 0 if it is not in the log.  */
 guint64 cl_term_at (const ClCore *core, guint64 index);
-/* Returns whether a store operation succeeded.  A fault stops this host's log
-   permanently.  */
+/* Returns whether a store operation succeeded.  After a fault, what the store
+   holds is unknown; this host takes no part until it has been restored.  */
 gboolean cl_check_stored (ClCore *core, GmKind kind, const GmStatus *status);
 /* Queues a copy of MESSAGE for the host TO.  */
 void cl_queue_send (ClCore *core, const char *to, const WmMessage *message);
--- a/lib/clog/filestore.c
+++ b/lib/clog/filestore.c
@@ -304,6 +304,8 @@
   return kind;
 }
 
+static GmKind open_log (ClFileStore *s, GmStatus *status);
+
 static GmKind
 file_vote (ClStore *store, guint64 term, const char *vote, GmStatus *status)
 {
@@ -394,6 +396,43 @@
   return drop_before ((ClFileStore *)store, first, status);
 }
 
+/* Replaces the log with ENTRIES.  */
+static GmKind
+replace_log (ClFileStore *s, const GPtrArray *entries, GmStatus *status)
+{
+  g_autoptr (GByteArray) data = g_byte_array_new ();
+  g_array_set_size (s->offsets, 0);
+  for (guint i = 0; i < entries->len; i++)
+    {
+      goffset place = data->len;
+      WmMessage record = cl_entry_message (g_ptr_array_index (entries, i));
+      g_array_append_val (s->offsets, place);
+      append_record (data, &record);
+    }
+  if (entries->len > 0)
+    s->first_index = ((ClEntry *)g_ptr_array_index (entries, 0))->index;
+  s->log_end = data->len;
+  GmKind kind = replace_file (s, "log", data, status);
+  return kind == GM_OK ? open_log (s, status) : kind;
+}
+
+/* The log goes before the snapshot: it may need entries that a newer snapshot
+   on the disk covers.  */
+static GmKind
+file_restore (ClStore *store, const ClStoreContents *contents,
+              GmStatus *status)
+{
+  ClFileStore *s = (ClFileStore *)store;
+  GmKind kind
+      = file_vote (store, contents->term,
+                   contents->vote != NULL ? contents->vote : "", status);
+  if (kind == GM_OK)
+    kind = replace_log (s, contents->entries, status);
+  if (kind == GM_OK && contents->data != NULL)
+    kind = file_snapshot (store, contents, 0, status);
+  return kind;
+}
+
 static void
 file_free (ClStore *store)
 {
@@ -414,6 +453,7 @@
   .append = file_append,
   .truncate = file_truncate,
   .snapshot = file_snapshot,
+  .restore = file_restore,
   .free = file_free,
 };
 
--- a/lib/clog/replicate.c
+++ b/lib/clog/replicate.c
@@ -144,8 +144,8 @@
     }
 }
 
-/* Stores and syncs ENTRIES, then adds them to the log, which takes
-   ownership.  */
+/* Stores and syncs ENTRIES, then adds them to the log.  Takes ownership.  If
+   the store fails, the log stays as it was: nobody was told of them.  */
 static gboolean
 append_entries (ClCore *core, ClEntry **entries, guint count)
 {
@@ -155,6 +155,12 @@
   GmKind kind
       = core->store->class->append (core->store, entries, count, &status);
   gboolean members = FALSE;
+  if (!cl_check_stored (core, kind, &status))
+    {
+      for (guint i = 0; i < count; i++)
+        cl_entry_free (entries[i]);
+      return FALSE;
+    }
   for (guint i = 0; i < count; i++)
     {
       members = members || entries[i]->type == CL_MEMBERS;
@@ -162,7 +168,7 @@
     }
   if (members)
     cl_refresh_members (core);
-  return cl_check_stored (core, kind, &status);
+  return TRUE;
 }
 
 gboolean
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -279,10 +279,13 @@
 check_disk (CoCore *core)
 {
   GmStatus status;
-  if (core->disk_failed || cl_failure (core->log, &status) == GM_OK)
+  gboolean failed = cl_failure (core->log, &status) != GM_OK;
+  if (core->disk_failed == failed)
     return;
-  core->disk_failed = TRUE;
-  gm_log (GM_EV_DISK_STOPPED, "%s", status.message);
+  core->disk_failed = failed;
+  gm_gauge (GM_M_control_log_stopped, failed ? 1 : 0);
+  gm_log (failed ? GM_EV_DISK_STOPPED : GM_EV_DISK_RESTORED, "%s",
+          failed ? status.message : "all that this host holds was written");
 }
 
 /* Processes the results of the log's last step: role changes, committed
--- a/tests/fuzz/memstore.c
+++ b/tests/fuzz/memstore.c
@@ -5,8 +5,18 @@
 {
   ClStore store;
   ClStoreContents held;
+  gboolean failing;
 } MemStore;
 
+static gboolean
+is_failing (ClStore *store, GmStatus *status)
+{
+  if (!((MemStore *)store)->failing)
+    return FALSE;
+  gm_fail (status, GM_IO, "the disk takes no more bytes");
+  return TRUE;
+}
+
 static GPtrArray *
 entries_new (void)
 {
@@ -38,6 +48,8 @@
 mem_vote (ClStore *store, guint64 term, const char *vote, GmStatus *status)
 {
   MemStore *m = (MemStore *)store;
+  if (is_failing (store, status))
+    return GM_IO;
   char *copy = g_strdup (vote);
   g_free (m->held.vote);
   m->held.vote = copy;
@@ -50,15 +62,19 @@
             GmStatus *status)
 {
   MemStore *m = (MemStore *)store;
-  for (guint i = 0; i < count; i++)
+  /* A full disk may take a part.  */
+  guint taken = is_failing (store, status) ? count / 2 : count;
+  for (guint i = 0; i < taken; i++)
     add_copy (m->held.entries, entries[i]);
-  return gm_ok (status);
+  return m->failing ? GM_IO : gm_ok (status);
 }
 
 static GmKind
 mem_truncate (ClStore *store, guint64 from, GmStatus *status)
 {
   GPtrArray *entries = ((MemStore *)store)->held.entries;
+  if (is_failing (store, status))
+    return GM_IO;
   while (entries->len > 0)
     {
       const ClEntry *last = g_ptr_array_index (entries, entries->len - 1);
@@ -74,6 +90,8 @@
               GmStatus *status)
 {
   ClStoreContents *held = &((MemStore *)store)->held;
+  if (is_failing (store, status))
+    return GM_IO;
   GBytes *members = g_bytes_ref (snapshot->members);
   GBytes *data = g_bytes_ref (snapshot->data);
   g_clear_pointer (&held->members, g_bytes_unref);
@@ -88,6 +106,27 @@
   return gm_ok (status);
 }
 
+static GmKind
+mem_restore (ClStore *store, const ClStoreContents *contents, GmStatus *status)
+{
+  ClStoreContents *held = &((MemStore *)store)->held;
+  if (is_failing (store, status))
+    return status->kind;
+  mem_vote (store, contents->term, contents->vote, status);
+  g_ptr_array_set_size (held->entries, 0);
+  for (guint i = 0; i < contents->entries->len; i++)
+    add_copy (held->entries, g_ptr_array_index (contents->entries, i));
+  if (contents->data != NULL)
+    mem_snapshot (store, contents, 0, status);
+  return gm_ok (status);
+}
+
+void
+memstore_fail (ClStore *store, gboolean failing)
+{
+  ((MemStore *)store)->failing = failing;
+}
+
 static void
 mem_free (ClStore *store)
 {
@@ -100,6 +139,7 @@
                                         .append = mem_append,
                                         .truncate = mem_truncate,
                                         .snapshot = mem_snapshot,
+                                        .restore = mem_restore,
                                         .free = mem_free };
 
 ClStore *
--- a/tests/fuzz/memstore.h
+++ b/tests/fuzz/memstore.h
@@ -4,3 +4,5 @@
 
 /* Returns an empty store; free it with its class's free function.  */
 ClStore *memstore_new (void);
+/* Makes every operation of STORE fail, or succeed again.  */
+void memstore_fail (ClStore *store, gboolean failing);
--- a/tests/test_clog.c
+++ b/tests/test_clog.c
@@ -3,7 +3,9 @@
 #include "fuzz/memstore.h"
 #include <fcntl.h>
 #include <glib/gstdio.h>
+#include <signal.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #define START_TIME (10 * GM_SECOND)
@@ -411,8 +413,8 @@
   disk_remove (&d);
 }
 
-/* A write error on the log stops the log of this host: it commits nothing more
-   and no longer leads.  */
+/* After a write error on the log this host commits nothing more and no longer
+   leads.  */
 static void
 test_failed_sync (void)
 {
@@ -566,6 +568,125 @@
   node_free (&b);
 }
 
+static void
+limit_file_size (rlim_t bytes)
+{
+  struct rlimit limit;
+  g_assert_cmpint (getrlimit (RLIMIT_FSIZE, &limit), ==, 0);
+  limit.rlim_cur = MIN (bytes, limit.rlim_max);
+  g_assert_cmpint (setrlimit (RLIMIT_FSIZE, &limit), ==, 0);
+}
+
+static goffset
+log_size (const Disk *d)
+{
+  g_autofree char *file = g_build_filename (d->path, "log", NULL);
+  GStatBuf info;
+  g_assert_cmpint (g_stat (file, &info), ==, 0);
+  return info.st_size;
+}
+
+typedef enum
+{
+  FULL_AT_PROPOSAL,
+  FULL_AT_VOTE,
+  FULL_AT_SNAPSHOT
+} FullAt;
+
+/* What a full disk takes: so many bytes more than the log has, or none of any
+   file; and what is written then.  */
+static const struct
+{
+  const char *name;
+  FullAt at;
+  gint64 room; /* -1: no file may have any byte */
+} full_disks[] = {
+  { "proposal", FULL_AT_PROPOSAL, 0 },
+  { "short-write", FULL_AT_PROPOSAL, 5 },
+  { "almost-whole", FULL_AT_PROPOSAL, 60 },
+  { "no-byte", FULL_AT_PROPOSAL, -1 },
+  { "vote", FULL_AT_VOTE, -1 },
+  { "snapshot", FULL_AT_SNAPSHOT, -1 },
+};
+
+static void
+write_to_full_disk (const Disk *d, FullAt at)
+{
+  guint64 index;
+  g_autofree char *text = g_strnfill (200, 'x');
+  g_autoptr (GBytes) command = g_bytes_new (text, 200);
+  WmMessage ask = { .type = WM_TYPE_VOTE_ASK,
+                    .vote_ask = { .term = cl_term (d->core) + 1,
+                                  .from = (char *)"other",
+                                  .disk = (char *)"disk",
+                                  .last_index = 1000000,
+                                  .last_term = 1000 } };
+  if (at == FULL_AT_SNAPSHOT)
+    cl_compact (d->core, command);
+  else if (at == FULL_AT_PROPOSAL)
+    g_assert_cmpint (cl_propose (d->core, START_TIME, command, &index, NULL),
+                     !=, GM_OK);
+  else
+    {
+      /* A leader that hears from a majority, itself, refuses.  */
+      g_assert_cmpint (cl_role (d->core), ==, CL_LEADER);
+      WmMessage later = { .type = WM_TYPE_APPENDED,
+                          .appended = { .term = cl_term (d->core) + 1,
+                                        .from = (char *)"other",
+                                        .disk = (char *)"disk" } };
+      cl_receive (d->core, START_TIME, &later);
+      cl_receive (d->core, START_TIME, &ask);
+    }
+}
+
+/* A control host whose disk was full takes part again by itself, with all that
+   it had confirmed.  Guards against a group that loses its quorum to disks
+   that were full for some seconds, one after the other.  */
+static void
+test_full_disk (gconstpointer data)
+{
+  gsize row = GPOINTER_TO_SIZE (data);
+  GmStatus status = { GM_OK, "" };
+  Disk d = { .path = g_dir_make_tmp ("clog-XXXXXX", NULL) };
+  signal (SIGXFSZ, SIG_IGN);
+  g_assert_cmpint (disk_open (&d, &status), ==, GM_OK);
+  cl_bootstrap (d.core, START_TIME, NULL);
+  cl_tick (d.core, START_TIME);
+  append_commands (&d, 20);
+  guint64 last = cl_last_index (d.core);
+  guint64 term = cl_term (d.core);
+  limit_file_size (full_disks[row].room < 0
+                       ? 0
+                       : (rlim_t)(log_size (&d) + full_disks[row].room));
+  write_to_full_disk (&d, full_disks[row].at);
+  g_assert_cmpint (cl_failure (d.core, NULL), ==, GM_IO);
+  g_assert_cmpint (cl_role (d.core), !=, CL_LEADER);
+  g_assert_cmpuint (cl_last_index (d.core), ==, last);
+  g_assert_cmpuint (cl_term (d.core), ==, term);
+  GmTime now = START_TIME;
+  for (; now < START_TIME + 5 * GM_SECOND; now += 10 * GM_MS)
+    cl_tick (d.core, now);
+  /* With some room left, what this host holds can be written anew.  */
+  if (full_disks[row].room < 0)
+    g_assert_cmpint (cl_failure (d.core, NULL), ==, GM_IO);
+  limit_file_size (RLIM_INFINITY);
+  for (; now < START_TIME + 8 * GM_SECOND; now += 10 * GM_MS)
+    cl_tick (d.core, now);
+  g_assert_cmpint (cl_failure (d.core, NULL), ==, GM_OK);
+  g_assert_cmpint (cl_role (d.core), ==, CL_LEADER);
+  guint64 index = 0;
+  g_autoptr (GBytes) command = g_bytes_new ("command", 7);
+  g_assert_cmpint (cl_propose (d.core, now, command, &index, NULL), ==, GM_OK);
+  g_assert_cmpuint (cl_commit (d.core), ==, index);
+  term = cl_term (d.core);
+  disk_close (&d);
+  g_assert_cmpint (disk_open (&d, &status), ==, GM_OK);
+  g_assert_cmpuint (cl_last_index (d.core), ==, index);
+  g_assert_cmpuint (cl_term (d.core), ==, term);
+  disk_close (&d);
+  disk_remove (&d);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -580,6 +701,12 @@
   g_test_add_func ("/clog/stamp", test_stamp);
   g_test_add_func ("/clog/many-changes", test_many_changes);
   g_test_add_func ("/clog/failed-sync", test_failed_sync);
+  for (gsize i = 0; i < G_N_ELEMENTS (full_disks); i++)
+    {
+      g_autofree char *name
+          = g_strconcat ("/clog/full-disk/", full_disks[i].name, NULL);
+      g_test_add_data_func (name, GSIZE_TO_POINTER (i), test_full_disk);
+    }
   for (gsize i = 0; i < G_N_ELEMENTS (damages); i++)
     {
       g_autofree char *name
