Seals hold until the chosen database leads, and held-up commits don't run

Cause: a restart ends the seal; the leader looked at seals only until its choice, told the old primary to step down only after its successor led, and the pool of the old primary left its commits on connections that a cut held up.

Change: the old primary steps down as soon as the term is open; seals are renewed until the chosen database leads, the order is sent only while the choice holds by them, and a copy that has received more makes the choice void; the order of a new choice doesn't wait for one that is void; a pool whose database is silent and replaced ends its running statements and resets their connections; a database that has left counts as a copy until another one has confirmed a later write.

Why it works: no path is left by which the old primary, where we reach it, or a statement of ours adds a confirmed write after the positions that the choice rests on were read.

/takeover/next-leader expected a new leader to renew its predecessor's choice unseen: that is the fault. It now expects no order before the seals were seen to hold, and the same order as before afterwards.

--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -423,6 +423,9 @@
     }
   else if (pool->stand_in_asked_at != 0)
     connections = STAND_IN_CONNECTIONS;
+  const CsGroup *term = cs_group (state, database->group);
+  pl_set_replaced (pool->core,
+                   term != NULL && strcmp (term->primary, pool->id) != 0);
   pl_set_floors (pool->core, cs_declaration (state)->floor);
   pl_set_queue_holder (pool->core, now, held_here || is_standing_in (pool));
   pl_set_limits (pool->core, now, (guint)slots, (guint)connections,
--- a/lib/base/mutant.h
+++ b/lib/base/mutant.h
@@ -14,6 +14,9 @@
   X (SEAL_ONE, "one sealed copy is enough for a promotion")                   \
   X (COUNT_DECLARED, "copies beyond the declared number are not counted")     \
   X (MISSING_FORGOTTEN, "a copy that is out of sight is not counted")         \
+  X (SEALS_LAPSE, "seals are not looked at again once a copy is chosen")      \
+  X (HELD_UP_RUNS, "statements to a silent replaced primary stay on the way") \
+  X (ORDERS_IN_TURN, "an order waits for the end of one that is void")        \
   X (PROMOTE_LOWEST, "the replica with the shortest log is promoted")         \
   X (UNALIGNED_READ, "a replaced primary serves writes only it has")          \
   X (POSITION_UNCHECKED, "a read does not check the database's position")     \
--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -33,6 +33,7 @@
 static void
 missing_free (CsMissing *missing)
 {
+  g_free (missing->key);
   g_free (missing->id);
   g_free (missing->group);
   g_free (missing->address);
@@ -376,29 +377,52 @@
   return last;
 }
 
+static char *
+missing_key (const char *id, guint64 incarnation, gboolean left)
+{
+  return left ? g_strdup_printf ("%s %" G_GUINT64_FORMAT, id, incarnation)
+              : g_strdup (id);
+}
+
 static void
 add_missing (CsState *state, const struct wm_rec_missing *r)
 {
   CsMissing *missing = g_new0 (CsMissing, 1);
+  missing->key = missing_key (r->id, r->incarnation, r->left != 0);
   missing->id = g_strdup (r->id);
   missing->group = g_strdup (r->group);
   missing->address = g_strdup (r->address);
   missing->incarnation = r->incarnation;
-  g_hash_table_replace (state->missing, missing->id, missing);
+  missing->left = r->left != 0;
+  g_hash_table_replace (state->missing, missing->key, missing);
+}
+
+/* Enters DATABASE, whose record is about to go, among the missing ones.  */
+static void
+lose_sight (CsState *state, const CsDatabase *database, gboolean left)
+{
+  struct wm_rec_missing missing = { .id = database->id,
+                                    .group = database->group,
+                                    .address = database->address,
+                                    .incarnation = database->incarnation,
+                                    .left = left ? 1 : 0 };
+  if (!GM_MUTANT (MISSING_FORGOTTEN))
+    add_missing (state, &missing);
 }
 
 /* Whether MISSING has ended and its record is of no more use: that of a
    group's last primary still tells which database has its log.  */
 static gboolean
-is_obsolete (gpointer id, gpointer value, gpointer data)
+is_obsolete (gpointer key, gpointer value, gpointer data)
 {
+  (void)key;
   const CsState *state = data;
   const CsMissing *missing = value;
   const CsGroup *group = cs_group (state, missing->group);
   return find_successor (state, missing->address, missing->incarnation) != NULL
          && (group == NULL
-             || (strcmp (group->primary, id) != 0
-                 && strcmp (group->avoid, id) != 0));
+             || (strcmp (group->primary, missing->id) != 0
+                 && strcmp (group->avoid, missing->id) != 0));
 }
 
 static GmKind
@@ -436,10 +460,7 @@
   if (old == NULL || old->incarnation != c->incarnation)
     return gm_fail (outcome, GM_CONFLICT,
                     "%s is not known with this incarnation", c->id);
-  if (!GM_MUTANT (MISSING_FORGOTTEN))
-    add_missing (state,
-                 &(struct wm_rec_missing){ old->id, old->group, old->address,
-                                           old->incarnation });
+  lose_sight (state, old, FALSE);
   g_hash_table_remove (state->databases, c->id);
   g_hash_table_foreach_remove (state->missing, is_obsolete, state);
   g_clear_pointer (&state->queue_holders, g_hash_table_unref);
@@ -451,10 +472,12 @@
                      GmStatus *outcome)
 {
   const CsMissing *missing = g_hash_table_lookup (state->missing, c->id);
-  if (missing == NULL || missing->incarnation != c->incarnation)
+  g_autofree char *key = missing_key (c->id, c->incarnation, TRUE);
+  gboolean found = missing != NULL && missing->incarnation == c->incarnation
+                   && g_hash_table_remove (state->missing, c->id);
+  if (!g_hash_table_remove (state->missing, key) && !found)
     return gm_fail (outcome, GM_CONFLICT,
                     "%s is not missing with this incarnation", c->id);
-  g_hash_table_remove (state->missing, c->id);
   return gm_ok (outcome);
 }
 
@@ -477,8 +500,10 @@
   const CsDatabase *old = g_hash_table_lookup (state->databases, c->id);
   if (old != NULL && old->incarnation > c->incarnation)
     return gm_fail (outcome, GM_CONFLICT, "%s has a newer incarnation", c->id);
+  if (old != NULL)
+    lose_sight (state, old, TRUE);
   g_hash_table_remove (state->databases, c->id);
-  g_hash_table_remove (state->missing, c->id);
+  g_hash_table_foreach_remove (state->missing, is_obsolete, state);
   g_clear_pointer (&state->queue_holders, g_hash_table_unref);
   CsLeft *left = g_new0 (CsLeft, 1);
   left->id = g_strdup (c->id);
@@ -662,7 +687,8 @@
                       .rec_missing = { .id = d->id,
                                        .group = d->group,
                                        .address = d->address,
-                                       .incarnation = d->incarnation } };
+                                       .incarnation = d->incarnation,
+                                       .left = d->left ? 1 : 0 } };
       wm_append (out, &m);
     }
 }
@@ -844,11 +870,29 @@
   return declared != NULL ? (guint)declared->databases : 0;
 }
 
+/* Returns the missing database ID, in its latest incarnation, or NULL.  */
+static const CsMissing *
+find_missing (const CsState *state, const char *id)
+{
+  const CsMissing *last = NULL;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, state->missing);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CsMissing *missing = value;
+      if (strcmp (missing->id, id) == 0
+          && (last == NULL || missing->incarnation > last->incarnation))
+        last = missing;
+    }
+  return last;
+}
+
 const char *
 cs_present_id (const CsState *state, const char *id)
 {
   const CsDatabase *d = g_hash_table_lookup (state->databases, id);
-  const CsMissing *missing = g_hash_table_lookup (state->missing, id);
+  const CsMissing *missing = d == NULL ? find_missing (state, id) : NULL;
   const CsDatabase *successor = NULL;
   if (d != NULL)
     successor = find_successor (state, d->address, d->incarnation);
@@ -857,30 +901,32 @@
   return successor != NULL ? successor->id : id;
 }
 
-/* Adds ID, if it is a database of GROUP that has not ended, to the set IDS. */
-static void
-add_copy (const CsState *state, GHashTable *ids, const char *group,
-          const char *id, const char *id_group)
-{
-  if (strcmp (group, id_group) == 0)
-    g_hash_table_add (ids, (gpointer)cs_present_id (state, id));
-}
-
 guint
 cs_other_copies (const CsState *state, const char *group, const char *except)
 {
-  g_autoptr (GHashTable) ids = g_hash_table_new (g_str_hash, g_str_equal);
+  const CsMissing *own = find_missing (state, except);
+  gboolean has_left = own != NULL && own->left;
+  g_autoptr (GHashTable) copies = g_hash_table_new (g_str_hash, g_str_equal);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, state->databases);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    add_copy (state, ids, group, ((CsDatabase *)value)->id,
-              ((CsDatabase *)value)->group);
+    {
+      const CsDatabase *d = value;
+      if (strcmp (d->group, group) == 0)
+        g_hash_table_add (copies, (gpointer)cs_present_id (state, d->id));
+    }
   g_hash_table_iter_init (&iter, state->missing);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    add_copy (state, ids, group, ((CsMissing *)value)->id,
-              ((CsMissing *)value)->group);
-  g_hash_table_remove (ids, cs_present_id (state, except));
+    {
+      const CsMissing *missing = value;
+      if (strcmp (missing->group, group) == 0
+          && strcmp (missing->id, except) != 0 && !(has_left && missing->left)
+          && find_successor (state, missing->address, missing->incarnation)
+                 == NULL)
+        g_hash_table_add (copies, missing->key);
+    }
+  g_hash_table_remove (copies, cs_present_id (state, except));
   guint declared = MAX (cs_database_count (state, group), 1);
-  return MAX (g_hash_table_size (ids), declared - 1);
+  return MAX (g_hash_table_size (copies), declared - 1);
 }
--- a/lib/cstate/cstate.h
+++ b/lib/cstate/cstate.h
@@ -46,14 +46,18 @@
   guint64 sequence; /* number of the announcement that this record is from */
 } CsDatabase;
 
-/* A database that is out of sight: it announces nothing, but has not said that
-   it leaves.  It may still receive from the primary.  */
+/* A database that is out of sight, and may still receive from the primary; or,
+   if left is set, one that has left and may have taken along the only other
+   copy of what the primary acknowledged last.  */
 typedef struct
 {
+  char *key; /* the id; after it has left, with the incarnation, since another
+                database may then start under the id */
   char *id;
   char *group;
   char *address;
   guint64 incarnation;
+  gboolean left;
 } CsMissing;
 
 /* A database group's term.  primary is "" while the term's databases are being
@@ -110,7 +114,7 @@
   GBytes *source;            /* as the operator sent it; empty: same as text */
   GHashTable *hosts;         /* host -> CsHost */
   GHashTable *databases;     /* id -> CsDatabase */
-  GHashTable *missing;       /* id -> CsMissing */
+  GHashTable *missing;       /* key -> CsMissing */
   GHashTable *groups;        /* group -> CsGroup */
   GArray *history;           /* CsHistory, by number */
   GQueue audit;              /* CsAudit *, oldest first */
@@ -161,7 +165,9 @@
 /* Returns how many databases of GROUP other than the database EXCEPT may hold
    a write that EXCEPT acknowledged: those that are known, those that are
    missing, and those that have not been heard of yet while fewer are known
-   than GROUP is declared to have.  */
+   than GROUP is declared to have.  Those that have left count until they are
+   given up, unless EXCEPT has left too: then nobody can have what they took
+   along.  */
 guint cs_other_copies (const CsState *state, const char *group,
                        const char *except);
 /* Returns how many databases GROUP is declared to have.  */
--- a/lib/failover/members.c
+++ b/lib/failover/members.c
@@ -250,13 +250,13 @@
     {
       const CsMissing *missing = value;
       Heartbeat *heartbeat
-          = g_hash_table_lookup (core->databases, missing->id);
+          = g_hash_table_lookup (core->databases, missing->key);
       if (heartbeat == NULL)
-        heartbeat = record_heartbeat (core->databases, missing->id, now);
+        heartbeat = record_heartbeat (core->databases, missing->key, now);
+      gboolean replaced = count_databases (state, missing->group)
+                          >= cs_database_count (state, missing->group);
       if (now < heartbeat->at + MB_MISSING_TIMEOUT
-          || count_databases (state, missing->group)
-                 < cs_database_count (state, missing->group)
-          || !may_propose (heartbeat, now))
+          || !(missing->left || replaced) || !may_propose (heartbeat, now))
         continue;
       WmMessage command
           = { .type = WM_TYPE_CMD_DATABASE_LOST,
--- a/lib/failover/members.h
+++ b/lib/failover/members.h
@@ -11,9 +11,9 @@
    control host.  */
 #define MB_LINK_GRACE (500 * GM_MS)
 #define MB_DATABASE_TIMEOUT (5 * GM_SECOND)
-/* A missing database counts as lost after this if its group has as many
-   databases as declared without it: it has been replaced, and this is longer
-   than the old and the new one run beside each other.  */
+/* A missing database counts as lost after this if it has left, or if its group
+   has as many databases as declared without it: it has been replaced, and this
+   is longer than the old and the new one run beside each other.  */
 #define MB_MISSING_TIMEOUT (60 * GM_SECOND)
 #define MB_PROPOSE_RETRY (500 * GM_MS)
 
--- a/lib/failover/takeover.c
+++ b/lib/failover/takeover.c
@@ -2,7 +2,8 @@
 #include "base/mutant.h"
 #include <string.h>
 
-/* What the leader knows of one database.  */
+/* What the leader knows of one database.  The positions of acknowledged writes
+   are those after the write, which may be later than its own.  */
 typedef struct
 {
   GmTime last_heartbeat; /* when its last heartbeat came */
@@ -14,7 +15,15 @@
   guint64 stuck_ms;      /* for how long no write has been confirmed */
   GArray *open_by_share; /* guint64, statements and transactions in progress */
   GmTime last_confirmed; /* when a write was last seen confirmed; 0: never */
-  guint64 acked_term;    /* of the last write that its pool saw acknowledged */
+  /* The last write that its pool saw acknowledged.  */
+  guint64 acked_term;
+  guint64 acked_number;
+  /* After it has left: since when the leader knows, and the last write that
+     the primary had acknowledged TO_DEPARTURE_GRACE later.  */
+  GmTime gone_at;
+  gboolean has_mark;
+  guint64 mark_term;
+  guint64 mark_number;
 
   /* The leader's own calls to it.  */
   GmTime call_started_at;
@@ -36,9 +45,11 @@
   guint64 sealing_term;
   GmTime sealing_since;
   guint64 pending_token; /* token of the order in flight; 0: none */
+  guint64 ordered_token; /* of the last order sent */
   guint64 refused_token; /* highest token that the platform refused */
   guint64 unknown_token; /* highest token whose order ended as TO_UNKNOWN */
   GmTime promoted_proposed_at; /* when CMD_PROMOTED was last proposed */
+  GmTime departed_proposed_at; /* when a departed copy was last given up */
   GmTime order_sent_at;
   GmTime next_order_at;
   guint64 unsealed_term; /* term in which the replicas were unsealed */
@@ -152,6 +163,7 @@
       progress->settled_at = G_MININT64 / 2;
       progress->last_proposal = G_MININT64 / 2;
       progress->promoted_proposed_at = G_MININT64 / 2;
+      progress->departed_proposed_at = G_MININT64 / 2;
       g_hash_table_insert (core->groups, progress->name, progress);
     }
   return progress;
@@ -171,6 +183,15 @@
   return view;
 }
 
+/* Whether the position NUMBER of TERM comes after OTHER_NUMBER of
+   OTHER_TERM.  */
+static gboolean
+is_later (guint64 term, guint64 number, guint64 other_term,
+          guint64 other_number)
+{
+  return term > other_term || (term == other_term && number > other_number);
+}
+
 static void
 update_view (ToCore *core, GmTime now, const CsState *state, const char *host,
              const struct wm_seen *m)
@@ -180,7 +201,12 @@
   if (share < 0)
     return;
   DatabaseView *view = view_of (core, m->id);
-  view->acked_term = MAX (view->acked_term, m->last_term);
+  if (is_later (m->last_term, m->received, view->acked_term,
+                view->acked_number))
+    {
+      view->acked_term = m->last_term;
+      view->acked_number = m->received;
+    }
   view->last_confirmed
       = MAX (view->last_confirmed,
              now - (GmTime)MIN (m->confirmed, G_MAXINT32) * GM_MS);
@@ -468,6 +494,56 @@
   wm_queue_put (&core->commands, &command);
 }
 
+/* Whether the database of VIEW is sealed for TERM.  A restart of the replica
+   ends its seal, so a status counts for TO_SEAL_MAX_AGE only.  */
+static gboolean
+is_sealed (const DatabaseView *view, GmTime now, guint64 term)
+{
+  return view->has_status && !view->status.primary
+         && view->status.sealed_term >= term
+         && now < view->status_at + TO_SEAL_MAX_AGE;
+}
+
+static int
+compare_positions (const FoDatabaseStatus *a, const FoDatabaseStatus *b)
+{
+  if (a->last_term != b->last_term)
+    return a->last_term < b->last_term ? -1 : 1;
+  if (a->received != b->received)
+    return a->received < b->received ? -1 : 1;
+  return 0;
+}
+
+/* Seals the databases of GROUP other than CHOSEN, which may be NULL, and
+   renews their seals.  A primary can't be sealed and must step down first.  */
+static void
+seal_databases (ToCore *core, GmTime now, const CsState *state,
+                const CsGroup *group, const GroupProgress *progress,
+                const char *chosen)
+{
+  const char *last_primary = cs_present_id (state, group->avoid);
+  g_autoptr (GPtrArray) all = databases_of (state, group->group, chosen);
+  for (guint i = 0; i < all->len; i++)
+    {
+      const CsDatabase *d = g_ptr_array_index (all, i);
+      DatabaseView *view = view_of (core, d->id);
+      if (!may_call (view, now)
+          || (is_sealed (view, now, group->term)
+              && now < view->status_at + TO_SEAL_RENEWAL))
+        continue;
+      gboolean led = strcmp (d->id, last_primary) == 0;
+      gboolean is_replica = view->has_status && !view->status.primary
+                            && view->status_at >= progress->sealing_since;
+      gboolean leads
+          = led ? !is_replica : view->has_status && view->status.primary;
+      if (led && !leads
+          && now < progress->sealing_since + TO_OLD_PRIMARY_DELAY)
+        continue;
+      start_call (core, now, progress, d,
+                  leads ? FO_CALL_STEP_DOWN : FO_CALL_SEAL, group->term);
+    }
+}
+
 /* Unseals the replicas of a settled group: a replica that stayed sealed after
    an abandoned choice would never catch up.  Waits until the chosen database
    reports itself as primary, because an accepted order may not have taken
@@ -521,14 +597,60 @@
     }
 }
 
+/* Gives up the copies of databases that have left once PRIMARY has had a write
+   acknowledged by another copy since: that one has everything before it too.
+ */
+static void
+clear_departed (ToCore *core, GmTime now, const CsState *state,
+                const CsGroup *group, GroupProgress *progress,
+                const CsDatabase *primary)
+{
+  const DatabaseView *leads = view_of (core, primary->id);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, state->missing);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CsMissing *missing = value;
+      if (!missing->left || strcmp (missing->group, group->group) != 0)
+        continue;
+      DatabaseView *view = view_of (core, missing->key);
+      view->gone_at = view->gone_at != 0 ? view->gone_at : now;
+      if (now < view->gone_at + TO_DEPARTURE_GRACE)
+        continue;
+      if (!view->has_mark)
+        {
+          view->has_mark = TRUE;
+          view->mark_term = leads->acked_term;
+          view->mark_number = leads->acked_number;
+        }
+      if (!is_later (leads->acked_term, leads->acked_number, view->mark_term,
+                     view->mark_number)
+          || now < progress->departed_proposed_at + TO_PROPOSE_RETRY)
+        continue;
+      progress->departed_proposed_at = now;
+      WmMessage command
+          = { .type = WM_TYPE_CMD_DATABASE_LOST,
+              .cmd_database_lost
+              = { .id = missing->id, .incarnation = missing->incarnation } };
+      wm_queue_put (&core->commands, &command);
+    }
+}
+
 static void
 watch_primary (ToCore *core, GmTime now, guint64 when, const CsState *state,
                const CsGroup *group, GroupProgress *progress)
 {
   const CsDatabase *primary
       = g_hash_table_lookup (state->databases, group->primary);
+  /* An accepted order takes effect some time later.  */
+  if (primary != NULL && progress->sealing_term == group->term
+      && progress->unsealed_term != group->term && !GM_MUTANT (SEALS_LAPSE))
+    seal_databases (core, now, state, group, progress, primary->id);
   unseal_replicas (core, now, state, group, primary, progress);
   depose_old_primaries (core, now, state, group, progress);
+  if (primary != NULL)
+    clear_departed (core, now, state, group, progress, primary);
   const char *reason
       = replacement_reason (core, now, state, progress, primary);
   if (reason == NULL)
@@ -541,48 +663,6 @@
   propose_term (core, now, when, state, group, progress, reason);
 }
 
-/* Whether the database of VIEW is sealed for TERM.  A restart of the replica
-   ends its seal, so a status counts for TO_SEAL_MAX_AGE only.  */
-static gboolean
-is_sealed (const DatabaseView *view, GmTime now, guint64 term)
-{
-  return view->has_status && !view->status.primary
-         && view->status.sealed_term >= term
-         && now < view->status_at + TO_SEAL_MAX_AGE;
-}
-
-static int
-compare_positions (const FoDatabaseStatus *a, const FoDatabaseStatus *b)
-{
-  if (a->last_term != b->last_term)
-    return a->last_term < b->last_term ? -1 : 1;
-  if (a->received != b->received)
-    return a->received < b->received ? -1 : 1;
-  return 0;
-}
-
-/* Calls every database that is not sealed yet.  A primary can't be sealed and
-   must step down first; the last one is called later than the others.  */
-static void
-seal_databases (ToCore *core, GmTime now, const CsState *state,
-                const CsGroup *group, const GroupProgress *progress)
-{
-  const char *last_primary = cs_present_id (state, group->avoid);
-  g_autoptr (GPtrArray) all = databases_of (state, group->group, NULL);
-  for (guint i = 0; i < all->len; i++)
-    {
-      const CsDatabase *d = g_ptr_array_index (all, i);
-      DatabaseView *view = view_of (core, d->id);
-      gboolean led = strcmp (d->id, last_primary) == 0;
-      if (is_sealed (view, now, group->term) || !may_call (view, now)
-          || (led && now < progress->sealing_since + TO_OLD_PRIMARY_DELAY))
-        continue;
-      gboolean leads = view->has_status && view->status.primary;
-      start_call (core, now, progress, d,
-                  leads ? FO_CALL_STEP_DOWN : FO_CALL_SEAL, group->term);
-    }
-}
-
 /* The copies of a group that are sealed for its term.  */
 typedef struct
 {
@@ -683,16 +763,22 @@
   return FALSE;
 }
 
+/* Notes that this leader seals the databases of GROUP for its term.  */
+static void
+begin_sealing (GmTime now, const CsGroup *group, GroupProgress *progress)
+{
+  if (progress->sealing_term == group->term)
+    return;
+  progress->sealing_term = group->term;
+  progress->sealing_since = now;
+  progress->last_proposal = G_MININT64 / 2;
+}
+
 static void
 choose_primary (ToCore *core, GmTime now, guint64 when, const CsState *state,
                 const CsGroup *group, GroupProgress *progress)
 {
-  if (progress->sealing_term != group->term)
-    {
-      progress->sealing_term = group->term;
-      progress->sealing_since = now;
-      progress->last_proposal = G_MININT64 / 2;
-    }
+  begin_sealing (now, group, progress);
   const CsDatabase *old = g_hash_table_lookup (state->databases, group->avoid);
   const DatabaseView *old_view = view_of (core, group->avoid);
   /* Transactions at a leaving primary get time to end.  */
@@ -706,27 +792,57 @@
                     "an earlier order was carried out late");
       return;
     }
-  seal_databases (core, now, state, group, progress);
+  seal_databases (core, now, state, group, progress, NULL);
   const CsDatabase *best = complete_copy (core, now, state, group);
   if (best != NULL)
     propose_primary (core, now, when, group, progress, best);
 }
 
-/* Whether CHOSEN reports itself as primary; starts a status call if not.
-   CHOSEN was a replica when it was chosen, so a primary there shows that an
-   order was carried out, even if its answer was lost.  */
+/* Whether CHOSEN reports itself as primary; calls it if not.  CHOSEN was a
+   replica when it was chosen, so a primary there shows that an order was
+   carried out, even if its answer was lost.  Before the order is sent, the
+   call renews its seal as well.  */
 static gboolean
-confirms_promotion (ToCore *core, GmTime now, const GroupProgress *progress,
-                    const CsDatabase *chosen)
+confirms_promotion (ToCore *core, GmTime now, const CsGroup *group,
+                    const GroupProgress *progress, const CsDatabase *chosen)
 {
   DatabaseView *view = view_of (core, chosen->id);
   if (view->has_status && view->status.primary)
     return TRUE;
   if (may_call (view, now))
-    start_call (core, now, progress, chosen, FO_CALL_STATUS, 0);
+    start_call (core, now, progress, chosen,
+                progress->ordered_token == group->decided ? FO_CALL_STATUS
+                                                          : FO_CALL_SEAL,
+                group->term);
   return FALSE;
 }
 
+typedef enum
+{
+  CHOICE_UNKNOWN, /* the seals don't tell */
+  CHOICE_HOLDS,
+  CHOICE_VOID /* another copy has more */
+} ChoiceState;
+
+/* Whether CHOSEN still holds every acknowledged write, by the seals as they
+   are now.  */
+static ChoiceState
+check_choice (ToCore *core, GmTime now, const CsState *state,
+              const CsGroup *group, const CsDatabase *chosen)
+{
+  const DatabaseView *view = view_of (core, chosen->id);
+  const CsDatabase *complete = complete_copy (core, now, state, group);
+  if (GM_MUTANT (SEALS_LAPSE))
+    return CHOICE_HOLDS;
+  if (complete == NULL || !view->has_status || view->status.primary)
+    return CHOICE_UNKNOWN;
+  return compare_positions (&view->status,
+                            &view_of (core, complete->id)->status)
+                 < 0
+             ? CHOICE_VOID
+             : CHOICE_HOLDS;
+}
+
 /* Sends the promotion order under the token of the choice.  An order without a
    clear answer may still be carried out, so each token is sent once and a
    retry needs a new choice with a higher token.  */
@@ -734,8 +850,12 @@
 send_order (ToCore *core, GmTime now, guint64 when, const CsGroup *group,
             GroupProgress *progress, const CsDatabase *chosen)
 {
+  /* An order for an earlier choice may still be carried out; that of the
+     present choice fences it off, so it must not wait.  */
+  gboolean is_obsolete = progress->pending_token != group->decided
+                         && !GM_MUTANT (ORDERS_IN_TURN);
   if (progress->pending_token != 0
-      && now >= progress->order_sent_at + TO_ORDER_TIMEOUT)
+      && (is_obsolete || now >= progress->order_sent_at + TO_ORDER_TIMEOUT))
     {
       progress->unknown_token
           = MAX (progress->unknown_token, progress->pending_token);
@@ -749,6 +869,7 @@
       return;
     }
   progress->pending_token = group->decided;
+  progress->ordered_token = group->decided;
   progress->order_sent_at = now;
   push_action (core, TO_ORDER, progress, chosen)->token = group->decided;
 }
@@ -774,9 +895,19 @@
       propose_primary (core, now, when, group, progress, chosen);
       return;
     }
-  if (confirms_promotion (core, now, progress, chosen))
-    propose_promoted (core, now, progress, group->decided);
-  else
+  if (confirms_promotion (core, now, group, progress, chosen))
+    {
+      propose_promoted (core, now, progress, group->decided);
+      return;
+    }
+  begin_sealing (now, group, progress);
+  if (!GM_MUTANT (SEALS_LAPSE))
+    seal_databases (core, now, state, group, progress, chosen->id);
+  ChoiceState choice = check_choice (core, now, state, group, chosen);
+  if (choice == CHOICE_VOID)
+    propose_term (core, now, when, state, group, progress,
+                  "another copy has received more than the chosen one");
+  else if (choice == CHOICE_HOLDS || progress->pending_token == group->decided)
     send_order (core, now, when, group, progress, chosen);
 }
 
--- a/lib/failover/takeover.h
+++ b/lib/failover/takeover.h
@@ -18,6 +18,11 @@
    a choice that was given up may still be promoted by a late order, and that
    database must have taken no write.
 
+   A seal ends when the replica restarts.  So seals are renewed until the
+   chosen database leads; an order is sent only while the choice still holds;
+   and the old primary is told to step down as soon as the term is open, not
+   only when its successor leads.
+
    The leader calls a primary that seems silent itself before it replaces it.
    Any answer, even that the database is busy, shows that the primary is alive.
 
@@ -62,11 +67,17 @@
 #define TO_ORDER_RETRY (300 * GM_MS)
 /* Time after a promotion for the replicas to connect to the new primary.  */
 #define TO_SETTLE_GRACE (2 * GM_SECOND)
-/* Delay before the replaced primary is called to seal.  */
+/* A seal is renewed this long after the status that showed it, until the
+   chosen database leads: a replica that restarts receives again.  */
+#define TO_SEAL_RENEWAL (100 * GM_MS)
+/* Delay before the replaced primary, which steps down at once, is sealed: its
+   copy is chosen only if another can't be sealed in time.  */
 #define TO_OLD_PRIMARY_DELAY (500 * GM_MS)
 /* Between two looks for replaced primaries that claim the lead.  Each looks at
    all databases; their heartbeats, which tell, come every 1.2 s.  */
 #define TO_DEPOSE_INTERVAL (300 * GM_MS)
+/* After a database has left, time until it is sure to receive nothing more. */
+#define TO_DEPARTURE_GRACE (1 * GM_SECOND)
 #define TO_TERM_SPACING (1 * GM_SECOND) /* between two terms of a group */
 #define TO_PROPOSE_RETRY (300 * GM_MS)
 
--- a/lib/pool/core.h
+++ b/lib/pool/core.h
@@ -51,6 +51,7 @@
 struct PlCore
 {
   DpPolicy policy;
+  gboolean replaced;    /* the database no longer is its group's primary */
   gboolean holds_queue; /* the pool accepts new statements */
   guint slots;          /* statements that the database runs at once */
   guint connections_max;
--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -650,6 +650,24 @@
     }
 }
 
+void
+pl_set_replaced (PlCore *core, gboolean replaced)
+{
+  core->replaced = replaced;
+}
+
+static void
+fail_if_replaced (PlCore *core, GmTime now)
+{
+  if (!core->replaced || !pl_is_silent (core, now) || GM_MUTANT (HELD_UP_RUNS))
+    return;
+  while (core->running->len > 0)
+    {
+      const PlRequest *request = g_ptr_array_index (core->running, 0);
+      fail_connection (core, now, request->base.connection);
+    }
+}
+
 static gboolean
 is_unconfirmed (DpRequest *base, gpointer data)
 {
@@ -693,6 +711,7 @@
   expire_running (core, now);
   handle_overdue (core, now);
   refuse_if_silent (core, now);
+  fail_if_replaced (core, now);
   refuse_unconfirmed (core, now);
   expire_transactions (core, now);
   refuse_late_requests (core, now, TRUE);
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -195,6 +195,11 @@
 /* Reports that this process did not run for SPAN, which must not count as
    silence of the database.  */
 void pl_discount_stall (PlCore *core, GmTime span);
+/* Tells whether the database no longer is the primary of its group.  While it
+   is silent then, its running statements end at once and their connections are
+   reset: a statement that is held up on its way must not run, and be
+   confirmed, after a successor was chosen.  */
+void pl_set_replaced (PlCore *core, gboolean replaced);
 /* Gives up the queue and closes all connections, because the database was
    replaced by another.  */
 void pl_drop_connections (PlCore *core, GmTime now);
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -178,7 +178,7 @@
 #define WM_REC_SNAPSHOT(U, S, B) \
   U (index) U (term) B (members) B (data)
 #define WM_REC_MISSING(U, S, B) \
-  S (id) S (group) S (address) U (incarnation)
+  S (id) S (group) S (address) U (incarnation) U (left)
 
 /* clang-format on */
 
--- a/lib/wire/stream.c
+++ b/lib/wire/stream.c
@@ -58,6 +58,16 @@
   g_free (stream);
 }
 
+void
+ns_reset (NsStream *stream)
+{
+  struct linger at_once = { .l_onoff = 1 };
+  if (stream != NULL && stream->socket != NULL)
+    setsockopt (g_socket_get_fd (stream->socket), SOL_SOCKET, SO_LINGER,
+                &at_once, sizeof at_once);
+  ns_close (stream);
+}
+
 static void
 stream_fail (NsStream *stream, const char *why)
 {
--- a/lib/wire/stream.h
+++ b/lib/wire/stream.h
@@ -46,3 +46,6 @@
 void ns_flush_and_close (NsStream *stream);
 /* Closes the stream at once.  STREAM may be NULL.  */
 void ns_close (NsStream *stream);
+/* Like ns_close, but resets the connection: what the peer has not received yet
+   is lost, also where the network holds it up.  */
+void ns_reset (NsStream *stream);
--- a/standin/replicas.c
+++ b/standin/replicas.c
@@ -311,9 +311,39 @@
   d->primary = FALSE;
   d->receive_paused = FALSE;
   d->incarnation++;
+  d->lifetime++;
   d->up = d->exists = TRUE;
 }
 
+static gboolean
+log_has_write (const MdDatabase *d, guint64 uid)
+{
+  for (guint i = d->log->len; i-- > 0;)
+    {
+      const MdCommit *c = g_ptr_array_index (d->log, i);
+      for (guint j = 0; j < c->writes->len; j++)
+        if (g_array_index (c->writes, guint64, j) == uid)
+          return TRUE;
+    }
+  return FALSE;
+}
+
+gboolean
+md_is_last_copy (const MdGroup *g, const MdDatabase *d)
+{
+  for (guint i = g->acknowledged->len; i-- > 0;)
+    {
+      guint64 uid = g_array_index (g->acknowledged, MdAck, i).uid;
+      gboolean elsewhere = FALSE;
+      for (guint j = 0; j < g->copies && !elsewhere; j++)
+        elsewhere
+            = &g->databases[j] != d && log_has_write (&g->databases[j], uid);
+      if (!elsewhere)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 void
 md_leave (MdDatabase *d)
 {
--- a/standin/replicas.h
+++ b/standin/replicas.h
@@ -24,7 +24,8 @@
 {
   char id[MD_ID_MAX];
   guint64 incarnation;
-  gboolean exists; /* FALSE: not started yet, or left for good */
+  guint64 lifetime; /* counts the calls of md_join */
+  gboolean exists;  /* FALSE: not started yet, or left for good */
   gboolean up;
   gboolean primary;
   guint64 term;
@@ -88,6 +89,9 @@
 void md_start (MdGroup *group, MdDatabase *d);
 /* Starts the database D, which does not exist, as an empty replica.  */
 void md_join (MdDatabase *d);
+/* Returns whether D alone holds an acknowledged write: no promise covers the
+   loss of both copies.  */
+gboolean md_is_last_copy (const MdGroup *group, const MdDatabase *d);
 /* Ends the database D for good; its log is gone.  */
 void md_leave (MdDatabase *d);
 /* Returns the highest position acknowledged before AT.  */
--- a/tests/fuzz/session_control.c
+++ b/tests/fuzz/session_control.c
@@ -58,6 +58,9 @@
   guint part = mine ? (guint)share : 0;
   shares = MAX (shares, 1);
   pl_set_queue_holder (pool->core, w->now, mine);
+  const CsGroup *group = cs_group (host->state, "g");
+  pl_set_replaced (pool->core,
+                   strcmp (group->primary, pool->database->id) != 0);
   pl_set_limits (pool->core, w->now, (guint)pl_share_size (2, part, shares),
                  (guint)pl_share_size (20, part, shares), 300 * GM_MS);
   set_witnesses (w, pool);
@@ -116,7 +119,8 @@
 sw_announce (World *w, const MdDatabase *d)
 {
   g_autofree char *address
-      = g_strdup_printf ("127.0.0.1:%u", 10 + (guint)(d - w->group.databases));
+      = g_strdup_printf ("127.0.0.%u:%u", 1 + (guint)(d->lifetime % 250),
+                         10 + (guint)(d - w->group.databases));
   gboolean leaving = d == w->leaving;
   if (d == w->unseen)
     return;
@@ -158,6 +162,7 @@
   ToAction action;
   guint64 round;
   char holder[8];
+  guint64 lifetime; /* of the database to promote */
 } LeaderAction;
 
 static MdDatabase *
@@ -170,12 +175,13 @@
 }
 
 /* An order is answered once the database has accepted it; the promotion takes
-   effect later, in this event.  */
+   effect later, in this event, unless the database has ended since.  */
 static void
 promote (World *w, gpointer data)
 {
   LeaderAction *duty = data;
-  if (md_promote (&w->group, duty->action.id, duty->action.token))
+  if (database_of (w, duty->action.id)->lifetime == duty->lifetime
+      && md_promote (&w->group, duty->action.id, duty->action.token))
     w->promotions++;
   to_action_clear (&duty->action);
   g_free (duty);
@@ -209,6 +215,7 @@
           LeaderAction *effect = g_new0 (LeaderAction, 1);
           effect->action
               = (ToAction){ .id = g_strdup (a->id), .token = a->token };
+          effect->lifetime = d->lifetime;
           sw_at (w, w->now + sw_delay (w, 400 * GM_MS), promote, effect);
         }
       if (duty->round == w->round)
@@ -363,12 +370,17 @@
   host->cut_off_until = w->now + 2 * GM_SECOND + sw_delay (w, 2 * GM_SECOND);
 }
 
-/* The database that was replaced ends.  */
+/* The database that was replaced ends.  At times that takes longer.  */
 static void
 end_release (World *w, gpointer data)
 {
   (void)data;
   MdDatabase *old = w->leaving;
+  if (md_is_last_copy (&w->group, old))
+    {
+      sw_at (w, w->now + GM_SECOND, end_release, NULL);
+      return;
+    }
   WmMessage m = { .type = WM_TYPE_CMD_DATABASE_LEFT,
                   .cmd_database_left
                   = { .id = old->id, .incarnation = old->incarnation } };
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -227,6 +227,43 @@
     }
 }
 
+/* A commit to a database that answers nothing: for how long, whether another
+   database was chosen in its place, and whether the commit ends at once.
+   Guards against a commit that is held up on its way and acknowledged after
+   the choice of a successor that lacks it.  */
+static const struct
+{
+  GmTime silent;
+  gboolean replaced;
+  gboolean ends;
+} held_up_cases[] = {
+  { 100 * GM_MS, TRUE, FALSE },
+  { 300 * GM_MS, TRUE, TRUE },
+  { 300 * GM_MS, FALSE, FALSE },
+};
+
+static void
+test_held_up (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (held_up_cases); i++)
+    {
+      Fixture f = fixture_new (20);
+      PlRequest *r = new_request (&f, PL_COMMIT, begin_transaction (&f));
+      submit_request (&f, r);
+      guint closed = f.close_count;
+      pl_set_replaced (f.core, held_up_cases[i].replaced);
+      f.now += held_up_cases[i].silent;
+      pl_tick (f.core, f.now);
+      take_actions (&f);
+      g_assert_cmpuint (f.close_count - closed, ==,
+                        held_up_cases[i].ends ? 1 : 0);
+      g_assert_cmpuint (f.answers->len, ==, held_up_cases[i].ends ? 2 : 1);
+      if (held_up_cases[i].ends)
+        g_assert_cmpint (r->kind, ==, GM_OUTCOME_UNKNOWN);
+      fixture_free (&f);
+    }
+}
+
 static void
 test_transaction_keeps_connection (void)
 {
@@ -696,6 +733,7 @@
   g_test_add_func ("/pool/witness-dates-proof", test_witness_dates_proof);
   g_test_add_func ("/pool/flood", test_flood);
   g_test_add_func ("/pool/silent", test_silent);
+  g_test_add_func ("/pool/held-up", test_held_up);
   g_test_add_func ("/pool/overdue", test_overdue);
   g_test_add_func ("/pool/given-up", test_queue_given_up);
   g_test_add_func ("/pool/health", test_health);
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -443,7 +443,8 @@
   bench_free (&b);
 }
 
-/* A new leader renews a choice that the previous one left unfinished.  */
+/* A new leader renews a choice that the previous one left unfinished, once it
+   has found that the seals still hold.  */
 static void
 test_next_leader (void)
 {
@@ -459,6 +460,11 @@
   to_lead (b.core, b.now, 8);
   tick (&b);
   tick (&b);
+  g_assert_cmpuint (b.orders, ==, 1);
+  answer_seal (&b, "db1", 1, 41);
+  answer_seal (&b, "db2", 1, 40);
+  tick (&b);
+  tick (&b);
   g_assert_cmpuint (b.orders, ==, 2);
   g_assert_cmpuint (b.token, >, first);
   g_assert_cmpstr (b.ordered, ==, "db1");
@@ -468,6 +474,113 @@
   bench_free (&b);
 }
 
+/* What a sealed replica answers between the choice and the order, and between
+   the order and its effect.  A restart ends its seal, and it may then confirm
+   writes that the chosen database lacks.  Guards against a promotion that
+   loses commits acknowledged after the choice.  */
+static const struct
+{
+  gboolean restarted; /* its next answer shows no seal */
+  guint64 position;   /* of its answer after that, sealed again */
+  guint orders;       /* sent in the end */
+  gboolean new_term;  /* the choice was void */
+} lapse_cases[] = {
+  { FALSE, 40, 1, FALSE },
+  { TRUE, 40, 1, FALSE },
+  { TRUE, 41, 1, FALSE },
+  { TRUE, 42, 0, TRUE },
+};
+
+static void
+test_lapsed_seal (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (lapse_cases); i++)
+    {
+      Bench b = bench_new ();
+      silence_primary (&b);
+      guint64 term = cs_group (b.state, "g")->term;
+      answer_seal (&b, "db1", 1, 41);
+      answer_seal (&b, "db2", 1, 40);
+      tick (&b);
+      g_assert_cmpstr (primary (&b), ==, "db1");
+      FoDatabaseStatus unsealed
+          = { .term = 1, .last_term = 1, .received = 40 };
+      if (lapse_cases[i].restarted)
+        {
+          to_call_done (b.core, b.now, "db2", TRUE, &unsealed);
+          tick (&b);
+          g_assert_cmpuint (b.orders, ==, 0);
+          b.now += TO_CALL_RETRY;
+          guint asked = b.calls[FO_CALL_SEAL];
+          tick (&b);
+          g_assert_cmpuint (b.calls[FO_CALL_SEAL], >, asked);
+          b.now += TO_TERM_SPACING;
+          answer_seal (&b, "db1", 1, 41);
+          answer_seal (&b, "db2", 1, lapse_cases[i].position);
+        }
+      tick (&b);
+      g_assert_cmpuint (b.orders, ==, lapse_cases[i].orders);
+      g_assert_cmpint (cs_group (b.state, "g")->term > term, ==,
+                       lapse_cases[i].new_term);
+      /* The seals are renewed until the chosen database leads.  */
+      guint asked = b.calls[FO_CALL_SEAL];
+      b.now += 3 * TO_CALL_TIMEOUT;
+      tick (&b);
+      g_assert_cmpuint (b.calls[FO_CALL_SEAL], >, asked);
+      bench_free (&b);
+    }
+}
+
+/* A choice that turns out to be void while its order is on its way: the order
+   of the next choice, which fences it off, does not wait for its end.  */
+static void
+test_void_order (void)
+{
+  Bench b = bench_new ();
+  silence_primary (&b);
+  answer_seal (&b, "db1", 1, 41);
+  answer_seal (&b, "db2", 1, 40);
+  tick (&b);
+  tick (&b);
+  g_assert_cmpuint (b.orders, ==, 1);
+  guint64 first = b.token;
+  b.now += TO_TERM_SPACING;
+  answer_seal (&b, "db1", 1, 41);
+  answer_seal (&b, "db2", 1, 42);
+  tick (&b);
+  answer_seal (&b, "db1", 1, 41);
+  answer_seal (&b, "db2", 1, 42);
+  tick (&b);
+  tick (&b);
+  g_assert_cmpuint (b.orders, ==, 2);
+  g_assert_cmpstr (b.ordered, ==, "db2");
+  g_assert_cmpuint (b.token, >, first);
+  bench_free (&b);
+}
+
+/* The old primary is told to step down as soon as the term is open, and until
+   it has: it may be alive although the leader did not reach it.  */
+static void
+test_step_down_at_once (void)
+{
+  Bench b = bench_new ();
+  silence_primary (&b);
+  g_assert_cmpuint (b.calls[FO_CALL_STEP_DOWN], ==, 0);
+  b.now += TO_CALL_RETRY;
+  tick (&b);
+  g_assert_cmpuint (b.calls[FO_CALL_STEP_DOWN], ==, 1);
+  to_call_done (b.core, b.now, "db0", FALSE, NULL);
+  b.now += TO_CALL_RETRY;
+  tick (&b);
+  g_assert_cmpuint (b.calls[FO_CALL_STEP_DOWN], ==, 2);
+  FoDatabaseStatus replica = { .term = 1, .last_term = 1, .received = 41 };
+  to_call_done (b.core, b.now, "db0", TRUE, &replica);
+  b.now += TO_CALL_RETRY;
+  tick (&b);
+  g_assert_cmpuint (b.calls[FO_CALL_STEP_DOWN], ==, 2);
+  bench_free (&b);
+}
+
 /* When the promotion of a chosen database counts as done: after the order's
    answer, or, if that answer is lost, when the database reports itself as
    primary.  */
@@ -720,6 +833,9 @@
   g_test_add_func ("/takeover/primary-returns", test_primary_returns);
   g_test_add_func ("/takeover/tokens", test_tokens);
   g_test_add_func ("/takeover/next-leader", test_next_leader);
+  g_test_add_func ("/takeover/lapsed-seal", test_lapsed_seal);
+  g_test_add_func ("/takeover/void-order", test_void_order);
+  g_test_add_func ("/takeover/step-down-at-once", test_step_down_at_once);
   g_test_add_func ("/takeover/settled", test_settled);
   g_test_add_func ("/takeover/deposed", test_deposed);
   g_test_add_func ("/takeover/old-seal", test_stale_seal);
