--- a/lib/wire/stream.c
+++ b/lib/wire/stream.c
@@ -276,6 +276,13 @@
   return stream;
 }
 
+/* A call that is given what it does not expect fails without an error.  */
+static const char *
+error_text (const GError *error)
+{
+  return error != NULL ? error->message : "the call failed without an error";
+}
+
 /* Returns ADDRESS as a socket address, or NULL with ERROR set when it is no
    IPv4 address: the sockets here are IPv4 sockets.  */
 static GSocketAddress *
@@ -307,7 +314,7 @@
   if (started)
     start_watching (stream);
   else
-    stream->start_error = g_strdup (error->message);
+    stream->start_error = g_strdup (error_text (error));
   stream->timer
       = g_timeout_add (stream->start_error == NULL ? CONNECT_TIMEOUT_MS : 0,
                        on_start_timeout, stream);
@@ -341,7 +348,7 @@
       || !g_socket_listen (socket, &error))
     {
       gm_fail (status, GM_IO, "%s:%u: %s", address->ip, address->port,
-               error->message);
+               error_text (error));
       g_clear_object (&socket);
       return NULL;
     }
