Elections after a start no longer overtake the votes that are being synced

What callers saw: on the users' machines the manifest could not be read back or changed (CONFIG), entry hosts went from one control host to the next, and none led.

Cause: the short timeout of the first election after a start, 20 to 80 ms, held until a leader was heard. A vote takes two syncs, and a voter made four. Where that takes longer than the timeout, all candidates call the next election before the votes are on disk.

Change: only the first election has the short timeout, elections in a row double the jitter; term and vote are written at once; a leader writes the commands of a step with one sync. GM307, GM308 and control_elections_total show elections and slow syncs, which the logs did not tell.

Why it works: a candidate's next timeout is longer than an election takes at the disk's pace, at the latest after some doublings, and one of them then comes first.

Ruled out: stopped logs (no GM302), links (up throughout).

--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -30,6 +30,8 @@
   X (NOT_LEADER, 301, NOTICE, "this control host is no longer leader")        \
   X (DISK_STOPPED, 302, ERROR, "the control log stopped: disk error")         \
   X (DISK_RESTORED, 306, NOTICE, "the control log can be written again")      \
+  X (CANDIDATE, 307, NOTICE, "this control host asks for votes")              \
+  X (DISK_SLOW, 308, WARN, "a sync of the control log took long")             \
   X (TAIL_CUT, 303, WARN, "an incomplete record at the log's end was cut")    \
   X (SNAPSHOT, 304, INFO, "a snapshot was written or received")               \
   X (VOTERS, 305, NOTICE, "the set of control hosts changed")                 \
@@ -99,6 +101,7 @@
   X (sessions_open, "open sessions of callers")                               \
   X (config_number, "number of the configuration in force")                   \
   X (state_version, "version of the control state in force")                  \
+  X (control_elections_total, "elections called by this control host")        \
   X (control_log_stopped, "1 while the control log can't be written")         \
   X (control_stamp_age_ms, "age of the control stamp in milliseconds")        \
   X (connections_open, "open connections of callers")                         \
--- a/lib/clog/clog.c
+++ b/lib/clog/clog.c
@@ -310,21 +310,34 @@
 }
 
 GmKind
-cl_propose (ClCore *core, GmTime now, GBytes *command, guint64 *index,
-            GmStatus *status)
+cl_propose_all (ClCore *core, GmTime now, const GPtrArray *commands,
+                guint64 *index, GmStatus *status)
 {
   if (core->failure.kind != GM_OK)
     return cl_failure (core, status);
   if (core->role != CL_LEADER)
     return gm_fail (status, GM_UNAVAILABLE, "this host does not lead");
-  if (!cl_append_entry (core, CL_COMMAND, command))
+  *index = cl_last_index (core) + 1;
+  g_autoptr (GPtrArray) entries = g_ptr_array_new ();
+  for (guint i = 0; i < commands->len; i++)
+    g_ptr_array_add (entries, cl_entry_new (*index + i, core->term, CL_COMMAND,
+                                            g_ptr_array_index (commands, i)));
+  if (!cl_append_entries (core, (ClEntry **)entries->pdata, entries->len))
     return cl_failure (core, status);
-  *index = cl_last_index (core);
   cl_broadcast (core, now);
   cl_advance_commit (core, now);
   return gm_ok (status);
 }
 
+GmKind
+cl_propose (ClCore *core, GmTime now, GBytes *command, guint64 *index,
+            GmStatus *status)
+{
+  g_autoptr (GPtrArray) commands = g_ptr_array_new ();
+  g_ptr_array_add (commands, command);
+  return cl_propose_all (core, now, commands, index, status);
+}
+
 const ClEntry *
 cl_take_committed (ClCore *core)
 {
--- a/lib/clog/clog.h
+++ b/lib/clog/clog.h
@@ -19,12 +19,17 @@
 #define CL_HEARTBEAT (50 * GM_MS)
 #define CL_ELECTION_MIN (300 * GM_MS)
 #define CL_ELECTION_JITTER (300 * GM_MS)
-/* The first election timeout of a host that has heard no leader since it
-   started.  It can be short: if there is a leader, the other voters refuse the
-   pre-vote.  The minimum is ten round trips within a region; the jitter keeps
-   three candidates a round trip apart.  */
+/* The first election timeout of a host that has started.  It can be short: if
+   there is a leader, the other voters refuse the pre-vote.  The minimum is ten
+   round trips within a region; the jitter keeps three candidates a round trip
+   apart.  Only the first: where votes take longer than this to be synced, the
+   candidates would take them from each other for ever.  */
 #define CL_FIRST_ELECTION_MIN (20 * GM_MS)
 #define CL_FIRST_ELECTION_JITTER (60 * GM_MS)
+/* Each election in a row that brings no leader doubles the jitter, so often at
+   most: up to 4.8 s, more than votes and a first entry take on a disk with
+   syncs of some hundred milliseconds.  */
+#define CL_BACKOFF_MAX 4
 #define CL_JOIN_INTERVAL (200 * GM_MS)
 /* A voter that hears no leader for this long asks to join again, since it may
    have been removed while it was unreachable.  Longer than two elections.  */
@@ -155,6 +160,10 @@
 GmTime cl_due (const ClCore *core);
 /* Handles a message of the control log; ignores all other types.  */
 void cl_receive (ClCore *core, GmTime now, const WmMessage *message);
+/* Appends the commands COMMANDS (GBytes *) with one sync and stores the index
+   of the first in INDEX.  Errors as for cl_propose.  */
+GmKind cl_propose_all (ClCore *core, GmTime now, const GPtrArray *commands,
+                       guint64 *index, GmStatus *status);
 /* Appends COMMAND and stores its index in INDEX.  GM_UNAVAILABLE if this host
    is not the leader.  */
 GmKind cl_propose (ClCore *core, GmTime now, GBytes *command, guint64 *index,
--- a/lib/clog/core.h
+++ b/lib/clog/core.h
@@ -54,6 +54,8 @@
 
   GmTime leader_heard_at;
   GmTime election_due;
+  guint elections; /* called by this host since it last heard of a leader */
+  gboolean had_first_election; /* since it started */
   GmTime heartbeat_due;
   GmTime join_due;
   GmTime stamp;
@@ -98,6 +100,9 @@
 /* Advances the commit index to the last entry that a majority of voters
    holds.  */
 void cl_advance_commit (ClCore *core, GmTime now);
+/* Stores and syncs COUNT entries of the current term at once, then adds them
+   to the log; takes ownership.  FALSE if the store failed.  */
+gboolean cl_append_entries (ClCore *core, ClEntry **entries, guint count);
 /* Appends an entry with the current term.  FALSE if the store failed.  */
 gboolean cl_append_entry (ClCore *core, ClEntryType type, GBytes *data);
 /* Handlers of replication messages.  */
--- a/lib/clog/election.c
+++ b/lib/clog/election.c
@@ -5,12 +5,15 @@
 void
 cl_reset_election_timer (ClCore *core, GmTime now)
 {
-  gboolean first
-      = core->leader_heard_at == core->opened_at && core->role != CL_LEADER;
+  gboolean first = core->leader_heard_at == core->opened_at
+                   && core->role != CL_LEADER
+                   && (!core->had_first_election || GM_MUTANT (ALWAYS_FIRST));
+  guint backoff
+      = GM_MUTANT (ALWAYS_FIRST) ? 0 : MIN (core->elections, CL_BACKOFF_MAX);
+  guint64 jitter = first ? CL_FIRST_ELECTION_JITTER
+                         : (guint64)CL_ELECTION_JITTER << backoff;
   core->election_due = now + (first ? CL_FIRST_ELECTION_MIN : CL_ELECTION_MIN)
-                       + (GmTime)gm_random_below (
-                           &core->random, first ? CL_FIRST_ELECTION_JITTER
-                                                : CL_ELECTION_JITTER);
+                       + (GmTime)gm_random_below (&core->random, jitter);
 }
 
 gboolean
@@ -48,6 +51,7 @@
   g_free (core->leader);
   core->leader = self;
   core->leader_since = now;
+  core->elections = 0;
   g_hash_table_remove_all (core->progress);
   for (guint i = 0; i < core->members->len; i++)
     {
@@ -91,6 +95,8 @@
 {
   core->role = pre ? CL_PRECANDIDATE : CL_CANDIDATE;
   g_clear_pointer (&core->leader, g_free);
+  core->had_first_election = TRUE;
+  core->elections += pre ? 0 : 1;
   cl_reset_election_timer (core, now);
   if (!pre && !cl_save_vote (core, core->term + 1, core->host))
     return;
@@ -142,8 +148,13 @@
       = m->term >= core->term
         && !candidate_log_is_behind (core, m->last_index, m->last_term)
         && !has_active_leader (core, now);
+  /* One write for the term and the vote.  */
   if (!pre && eligible && m->term > core->term)
-    cl_become_follower (core, now, m->term, NULL);
+    {
+      if (!cl_save_vote (core, m->term, m->from))
+        return;
+      cl_become_follower (core, now, m->term, NULL);
+    }
   gboolean granted
       = eligible
         && (pre ? m->term > core->term
--- a/lib/clog/filestore.c
+++ b/lib/clog/filestore.c
@@ -1,4 +1,5 @@
 #include "filestore.h"
+#include "base/event.h"
 #include "base/histogram.h"
 #include <errno.h>
 #include <fcntl.h>
@@ -12,6 +13,8 @@
 #define DIRECTORY_MODE 0700
 #define HEADER_BYTES 8 /* length and CRC-32, both big-endian */
 #define DISK_ID_BYTES 16
+#define SYNC_SLOW 200000 /* microseconds, two thirds of an election timeout   \
+                          */
 
 struct ClFileStore
 {
@@ -89,6 +92,17 @@
   return RECORD_VALID;
 }
 
+/* Notes how long it took, since BEGUN, to write the file NAME.  This host
+   sends and answers nothing meanwhile.  */
+static void
+observe_sync (const char *name, gint64 begun)
+{
+  gint64 took = g_get_monotonic_time () - begun;
+  hg_observe (HG_sync_seconds, name, took);
+  if (took >= SYNC_SLOW)
+    gm_log (GM_EV_DISK_SLOW, "%s: %" G_GINT64_FORMAT " ms", name, took / 1000);
+}
+
 /* Atomically replaces the contents of the file NAME with DATA: after a crash
    the file has either its old or its new contents.  */
 static GmKind
@@ -100,6 +114,7 @@
                    O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
   if (fd < 0)
     return io_error (status, "open", fresh);
+  gint64 begun = g_get_monotonic_time ();
   gboolean good = write_all (fd, data->data, data->len) && fsync (fd) == 0;
   int saved = errno;
   close (fd);
@@ -110,6 +125,7 @@
     return io_error (status, "rename", fresh);
   if (fsync (s->folder_fd) != 0)
     return io_error (status, "sync", s->path);
+  observe_sync (name, begun);
   return gm_ok (status);
 }
 
@@ -334,7 +350,7 @@
       || !write_all (s->log_fd, data->data, data->len)
       || fdatasync (s->log_fd) != 0)
     return io_error (status, "append to", "log");
-  hg_observe (HG_sync_seconds, "log", g_get_monotonic_time () - begun);
+  observe_sync ("log", begun);
   s->log_end += data->len;
   return gm_ok (status);
 }
--- a/lib/clog/replicate.c
+++ b/lib/clog/replicate.c
@@ -144,10 +144,10 @@
     }
 }
 
-/* Stores and syncs ENTRIES, then adds them to the log.  Takes ownership.  If
-   the store fails, the log stays as it was: nobody was told of them.  */
-static gboolean
-append_entries (ClCore *core, ClEntry **entries, guint count)
+/* If the store fails, the log stays as it was: nobody was told of the
+   entries.  */
+gboolean
+cl_append_entries (ClCore *core, ClEntry **entries, guint count)
 {
   GmStatus status;
   if (count == 0)
@@ -176,7 +176,7 @@
 {
   ClEntry *entry
       = cl_entry_new (cl_last_index (core) + 1, core->term, type, data);
-  return append_entries (core, &entry, 1);
+  return cl_append_entries (core, &entry, 1);
 }
 
 static gboolean
@@ -225,7 +225,7 @@
       wm_clear (&record);
     }
   if (good && at == g_bytes_get_size (list))
-    return append_entries (core, (ClEntry **)fresh->pdata, fresh->len);
+    return cl_append_entries (core, (ClEntry **)fresh->pdata, fresh->len);
   g_ptr_array_set_free_func (fresh, (GDestroyNotify)cl_entry_free);
   return FALSE;
 }
@@ -258,6 +258,7 @@
     }
   cl_become_follower (core, now, term, leader);
   core->leader_heard_at = now;
+  core->elections = 0;
   cl_reset_election_timer (core, now);
   return core->failure.kind == GM_OK;
 }
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -275,6 +275,21 @@
   fo_lead (core->failover);
 }
 
+/* Logs an election that this host calls, and how late it is for that: a host
+   that was busy, or waited for its disk, runs its timers late.  */
+static void
+log_election (CoCore *core)
+{
+  if (cl_role (core->log) != CL_CANDIDATE
+      || cl_term (core->log) == core->candidate_term)
+    return;
+  core->candidate_term = cl_term (core->log);
+  gm_count (GM_M_control_elections_total, 1);
+  gm_log (GM_EV_CANDIDATE, "term %u, log up to %u, committed up to %u",
+          (guint)cl_term (core->log), (guint)cl_last_index (core->log),
+          (guint)cl_commit (core->log));
+}
+
 static void
 check_disk (CoCore *core)
 {
@@ -295,6 +310,7 @@
 {
   ClOutgoingMessage send;
   check_disk (core);
+  log_election (core);
   update_leadership (core, now);
   apply_committed (core);
   co_update_subscribers (core, now);
@@ -324,48 +340,49 @@
   g_hash_table_replace (core->proposals, g_memdup2 (&index, sizeof index), p);
 }
 
+/* Adds COMMAND, which it clears, to the commands that this host proposes in
+   one step: with a sync for each, a leader that many hosts report to after a
+   restart would be busy for longer than its followers wait.  */
 static void
-propose_own (CoCore *core, GmTime now, WmMessage *command)
+add_own (GPtrArray *commands, WmMessage *command)
 {
-  g_autoptr (GBytes) block = wm_encode (command);
-  propose (core, now, 0, core->host, 0, block);
+  if (command->type == WM_TYPE_CMD_TERM)
+    gm_count (GM_M_failovers_total, 1);
+  g_ptr_array_add (commands, wm_encode (command));
   wm_clear (command);
 }
 
 static void
-run_takeover (CoCore *core, GmTime now, guint64 wall)
+run_takeover (CoCore *core, GmTime now, guint64 wall, GPtrArray *commands)
 {
   WmMessage command;
   to_tick (core->takeover, now, wall, core->state);
   while (to_take_command (core->takeover, &command))
-    {
-      if (command.type == WM_TYPE_CMD_TERM)
-        gm_count (GM_M_failovers_total, 1);
-      propose_own (core, now, &command);
-    }
+    add_own (commands, &command);
 }
 
 static void
 run_decisions (CoCore *core, GmTime now, guint64 wall)
 {
   WmMessage command;
+  guint64 index;
+  g_autoptr (GPtrArray) commands
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   if (now >= core->next_expiry_check)
     {
       core->next_expiry_check = now + CO_EXPIRY_INTERVAL;
       mb_tick (core->members, now, core->state);
     }
   if (core->takeover != NULL)
-    run_takeover (core, now, wall);
+    run_takeover (core, now, wall, commands);
   else
     fo_tick (core->failover, now, wall, core->state);
   while (mb_take_command (core->members, &command))
-    propose_own (core, now, &command);
+    add_own (commands, &command);
   while (fo_take_command (core->failover, &command))
-    {
-      if (command.type == WM_TYPE_CMD_TERM)
-        gm_count (GM_M_failovers_total, 1);
-      propose_own (core, now, &command);
-    }
+    add_own (commands, &command);
+  if (commands->len > 0)
+    cl_propose_all (core->log, now, commands, &index, NULL);
 }
 
 void
--- a/lib/control/core.h
+++ b/lib/control/core.h
@@ -43,6 +43,7 @@
   guint64 other_version; /* last version whose entry is no configuration */
   guint voters_min;
   gboolean is_leader;
+  guint64 candidate_term; /* of the last election that this host called */
   gboolean disk_failed;
   gboolean first_stamps_sent; /* since this host started */
   GmTime next_expiry_check;   /* next check for silent hosts */
--- a/tests/fuzz/memstore.c
+++ b/tests/fuzz/memstore.c
@@ -6,6 +6,7 @@
   ClStore store;
   ClStoreContents held;
   gboolean failing;
+  guint64 syncs; /* a replaced file needs two, one of its folder */
 } MemStore;
 
 static gboolean
@@ -50,6 +51,7 @@
   MemStore *m = (MemStore *)store;
   if (is_failing (store, status))
     return GM_IO;
+  m->syncs += 2;
   char *copy = g_strdup (vote);
   g_free (m->held.vote);
   m->held.vote = copy;
@@ -63,6 +65,7 @@
 {
   MemStore *m = (MemStore *)store;
   /* A full disk may take a part.  */
+  m->syncs++;
   guint taken = is_failing (store, status) ? count / 2 : count;
   for (guint i = 0; i < taken; i++)
     add_copy (m->held.entries, entries[i]);
@@ -121,6 +124,12 @@
   return gm_ok (status);
 }
 
+guint64
+memstore_syncs (const ClStore *store)
+{
+  return ((const MemStore *)store)->syncs;
+}
+
 void
 memstore_fail (ClStore *store, gboolean failing)
 {
--- a/tests/test_clog.c
+++ b/tests/test_clog.c
@@ -687,6 +687,122 @@
   disk_remove (&d);
 }
 
+/* Five control hosts that start at the same time, each busy while its disk
+   syncs.  */
+#define GROUP_SIZE 5
+
+typedef struct
+{
+  Node node;
+  char host[4];
+  GmTime busy_until;
+  GQueue inbox; /* ClOutgoingMessage *, in the order of arrival */
+} SlowHost;
+
+static GBytes *
+five_voters (void)
+{
+  g_autoptr (GPtrArray) members
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)cl_member_free);
+  for (guint i = 0; i < GROUP_SIZE; i++)
+    {
+      ClMember *member = g_new0 (ClMember, 1);
+      member->host = g_strdup_printf ("h%u", i);
+      member->disk = g_strdup ("disk");
+      member->address = g_strdup ("");
+      member->voter = TRUE;
+      g_ptr_array_add (members, member);
+    }
+  return cl_members_encode (members);
+}
+
+static void
+slow_host_start (SlowHost *h, guint i, GmTime now)
+{
+  g_autoptr (GBytes) members = five_voters ();
+  ClEntry *entry = cl_entry_new (1, 1, CL_MEMBERS, members);
+  g_snprintf (h->host, sizeof h->host, "h%u", i);
+  g_queue_init (&h->inbox);
+  h->node.store = memstore_new ();
+  const ClStoreClass *class = h->node.store->class;
+  g_assert_cmpint (class->vote (h->node.store, 1, "", NULL), ==, GM_OK);
+  g_assert_cmpint (class->append (h->node.store, &entry, 1, NULL), ==, GM_OK);
+  cl_entry_free (entry);
+  h->node.core
+      = cl_open (h->host, "disk", "", h->node.store, i + 1, now, NULL);
+}
+
+/* Lets H, which is not busy, send what it has to say since, then handle what
+   has arrived up to the first sync, which takes SYNC.  */
+static void
+slow_host_run (SlowHost *all, SlowHost *h, GmTime now, GmTime sync)
+{
+  ClOutgoingMessage send;
+  ClOutgoingMessage *received;
+  if (now < h->busy_until)
+    return;
+  while (cl_take_outgoing (h->node.core, &send))
+    g_queue_push_tail (&all[send.to[1] - '0'].inbox,
+                       g_memdup2 (&send, sizeof send));
+  guint64 syncs = memstore_syncs (h->node.store);
+  cl_tick (h->node.core, now);
+  while (memstore_syncs (h->node.store) == syncs
+         && (received = g_queue_pop_head (&h->inbox)) != NULL)
+    {
+      cl_receive (h->node.core, now, &received->message);
+      wm_clear (&received->message);
+      g_free (received->to);
+      g_free (received);
+    }
+  h->busy_until
+      = now + (GmTime)(memstore_syncs (h->node.store) - syncs) * sync;
+}
+
+/* How long a sync takes in milliseconds, and by when a leader must be
+   confirmed.  All control hosts are started together after a loss of power,
+   and must lead again within the 12 s that a deployment has to recover.  */
+static const struct
+{
+  GmTime sync_ms;
+  GmTime by_s;
+} slow_disks[] = { { 0, 2 }, { 2, 2 }, { 20, 12 }, { 60, 12 }, { 120, 12 } };
+
+/* Guards against elections without end where syncs take longer than the first
+   election timeout.  */
+static void
+test_slow_disks (void)
+{
+  for (guint row = 0; row < G_N_ELEMENTS (slow_disks); row++)
+    {
+      SlowHost hosts[GROUP_SIZE] = { 0 };
+      GmTime start = START_TIME, confirmed = 0;
+      GmTime sync = slow_disks[row].sync_ms * GM_MS;
+      for (guint i = 0; i < GROUP_SIZE; i++)
+        slow_host_start (&hosts[i], i, start);
+      for (GmTime now = start; now < start + 15 * GM_SECOND; now += GM_MS)
+        for (guint i = 0; i < GROUP_SIZE; i++)
+          {
+            slow_host_run (hosts, &hosts[i], now, sync);
+            if (confirmed == 0 && cl_stamp (hosts[i].node.core, now) > start)
+              confirmed = now;
+          }
+      g_assert_cmpint (confirmed, >, 0);
+      g_assert_cmpint (confirmed - start, <=,
+                       slow_disks[row].by_s * GM_SECOND);
+      for (guint i = 0; i < GROUP_SIZE; i++)
+        {
+          ClOutgoingMessage *left;
+          while ((left = g_queue_pop_head (&hosts[i].inbox)) != NULL)
+            {
+              wm_clear (&left->message);
+              g_free (left->to);
+              g_free (left);
+            }
+          node_free (&hosts[i].node);
+        }
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -701,6 +817,7 @@
   g_test_add_func ("/clog/stamp", test_stamp);
   g_test_add_func ("/clog/many-changes", test_many_changes);
   g_test_add_func ("/clog/failed-sync", test_failed_sync);
+  g_test_add_func ("/clog/slow-disks", test_slow_disks);
   for (gsize i = 0; i < G_N_ELEMENTS (full_disks); i++)
     {
       g_autofree char *name
