A stamp that no quorum confirmed is never taken for a recent one

What callers would have seen: on a machine that had been up for more than 24.8 days, an entry host that starts serves what a control host without a quorum holds (CONFIG).

Cause: the age in such a stamp was cut off at 24.8 days, so that the time that it stands for was after the start of the machine; any such time counts as confirmed. Found by reading, beside the users' CONFIG record; not seen in a run of the programs.

Change: the age of an unconfirmed stamp lies before any start.

Evidence: /feed/unconfirmed, with 40 days of uptime, is red with the mutant UNCONFIRMED_STAMP, the former code.

--- a/lib/base/mutant.h
+++ b/lib/base/mutant.h
@@ -34,6 +34,7 @@
   X (LEAVING_SERVES, "a leaving database gets new work")                      \
   X (NUMBER_TWICE, "two texts are accepted under one number")                 \
   X (RESEND_REFUSED, "a configuration sent again is not confirmed again")     \
+  X (UNCONFIRMED_STAMP, "a stamp that no quorum confirmed has a bounded age") \
   X (ECHO_UNCHECKED, "a stamp uses the clock of an earlier process")          \
   X (STAMP_BEHIND, "a stamp is accepted for an older control state")          \
   X (ANY_INCARNATION, "a transaction outlives its dispatcher's restart")      \
--- a/lib/control/feed.c
+++ b/lib/control/feed.c
@@ -192,9 +192,11 @@
 {
   GmTime stamp = cl_stamp (core->log, now);
   const char *leader = cl_leader (core->log);
-  /* A host that no quorum has confirmed yet sends the maximum age, which makes
-     no copy current.  */
-  GmTime age = CLAMP (now - stamp, 0, (GmTime)G_MAXINT32 * GM_MS);
+  /* A host that no quorum has confirmed yet sends an age that makes no copy
+     current, however long the machine of the subscriber has been up.  */
+  GmTime age = stamp > 0 || GM_MUTANT (UNCONFIRMED_STAMP)
+                   ? CLAMP (now - stamp, 0, (GmTime)G_MAXINT32 * GM_MS)
+                   : G_MAXINT64 / 2;
   WmMessage m
       = { .type = WM_TYPE_STAMP,
           .stamp = { .echo = s->heartbeat_clock,
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -211,11 +211,67 @@
   fixture_clear (&f);
 }
 
+/* How long the machines have been up, and whether a quorum has confirmed the
+   control host that answers.  */
+static const struct
+{
+  GmTime up;
+  gboolean confirmed;
+} uptimes[] = {
+  { 100 * GM_SECOND, FALSE },
+  { 100 * GM_SECOND, TRUE },
+  { 40 * 24 * 3600 * GM_SECOND, FALSE },
+  { 40 * 24 * 3600 * GM_SECOND, TRUE },
+};
+
+/* A copy counts as current only by the stamp of a control host that a quorum
+   confirmed.  Guards against a host that serves what a control host without a
+   quorum holds, because its machine has been up for weeks.  */
+static void
+test_unconfirmed (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (uptimes); i++)
+    {
+      GmTime now = uptimes[i].up;
+      CoIdentity self = { "c1", "disk", "c1", 7 };
+      ClStore *store = memstore_new ();
+      CoCore *core = co_open (&self, store, now, NULL);
+      if (uptimes[i].confirmed)
+        g_assert_cmpint (cl_bootstrap (co_log (core), now, NULL), ==, GM_OK);
+      co_tick (core, now, 0);
+      SbCore *subscriber = sb_new ("h", 1, 0, now);
+      sb_tick (subscriber, now);
+      sb_link_up (subscriber, now);
+      WmMessage beat = { .type = WM_TYPE_SUBSCRIBE,
+                         .subscribe = { .host = (char *)"h",
+                                        .sent = (guint64)now,
+                                        .caller = (char *)"",
+                                        .link = (char *)"127.0.0.1:1",
+                                        .data_centre = (char *)"" } };
+      co_receive (core, now, LINK, "h", &beat);
+      CoSend send;
+      while (co_take_send (core, &send))
+        {
+          if (send.link == LINK)
+            sb_receive (subscriber, now, &send.message);
+          g_free (send.to);
+          wm_clear (&send.message);
+        }
+      /* Times before 0 stand for no stamp at all.  */
+      g_assert_cmpint (sb_age (subscriber, now) < now, ==,
+                       uptimes[i].confirmed);
+      sb_free (subscriber);
+      co_free (core);
+      store->class->free (store);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/feed/storm", test_storm);
   g_test_add_func ("/feed/urgent-news", test_host_update_not_deferred);
+  g_test_add_func ("/feed/unconfirmed", test_unconfirmed);
   return g_test_run ();
 }
