What a new leader learns from the log expires like the rest

Cause: mb_lead starts heartbeat clocks for what the state names when the host begins to lead.

Change: a member without a clock gets one when it is first looked at.

--- a/lib/failover/members.c
+++ b/lib/failover/members.c
@@ -60,6 +60,15 @@
   return heartbeat;
 }
 
+/* Returns the last heartbeat of NAME.  One that is known from the log alone,
+   as after a restart of all control hosts, counts from NOW on.  */
+static Heartbeat *
+known_heartbeat (GHashTable *table, const char *name, GmTime now)
+{
+  Heartbeat *heartbeat = g_hash_table_lookup (table, name);
+  return heartbeat != NULL ? heartbeat : record_heartbeat (table, name, now);
+}
+
 /* Whether a command for this member may be proposed now; if so, records the
    time.  */
 static gboolean
@@ -194,8 +203,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const CsHost *host = value;
-      Heartbeat *heartbeat = g_hash_table_lookup (core->hosts, host->host);
-      if (heartbeat == NULL || now < heartbeat->at + MB_HOST_TIMEOUT
+      Heartbeat *heartbeat = known_heartbeat (core->hosts, host->host, now);
+      if (now < heartbeat->at + MB_HOST_TIMEOUT
           || !may_propose (heartbeat, now))
         continue;
       WmMessage command
@@ -216,8 +225,8 @@
     {
       const CsDatabase *database = value;
       Heartbeat *heartbeat
-          = g_hash_table_lookup (core->databases, database->id);
-      if (heartbeat == NULL || now < heartbeat->at + MB_DATABASE_TIMEOUT
+          = known_heartbeat (core->databases, database->id, now);
+      if (now < heartbeat->at + MB_DATABASE_TIMEOUT
           || !may_propose (heartbeat, now))
         continue;
       WmMessage command
@@ -250,9 +259,7 @@
     {
       const CsMissing *missing = value;
       Heartbeat *heartbeat
-          = g_hash_table_lookup (core->databases, missing->key);
-      if (heartbeat == NULL)
-        heartbeat = record_heartbeat (core->databases, missing->key, now);
+          = known_heartbeat (core->databases, missing->key, now);
       gboolean replaced = count_databases (state, missing->group)
                           >= cs_database_count (state, missing->group);
       if (now < heartbeat->at + MB_MISSING_TIMEOUT
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -806,6 +806,36 @@
     }
 }
 
+/* A leader that was elected after a restart of all control hosts learns from
+   the log, after it began to lead, of a host and a database that never report
+   again.  Guards against their staying in the state for ever.  */
+static void
+test_known_from_log (void)
+{
+  Bench b = bench_new ();
+  g_autoptr (CsState) empty = cs_new ();
+  MbCore *members = mb_new ();
+  mb_lead (members, b.now, empty);
+  guint hosts = 0, databases = 0;
+  for (GmTime end = b.now + 2 * MB_DATABASE_TIMEOUT; b.now < end;
+       b.now += 100 * GM_MS)
+    {
+      WmMessage command;
+      mb_tick (members, b.now, b.state);
+      while (mb_take_command (members, &command))
+        {
+          hosts += command.type == WM_TYPE_CMD_HOST_DOWN ? 1 : 0;
+          databases += command.type == WM_TYPE_CMD_DATABASE_DOWN ? 1 : 0;
+          commit (&b, &command);
+          wm_clear (&command);
+        }
+    }
+  g_assert_cmpuint (hosts, ==, 1);
+  g_assert_cmpuint (databases, ==, 3);
+  mb_free (members);
+  bench_free (&b);
+}
+
 /* A host that does not lead orders nothing, and ignores the late end of an
    order.  */
 static void
@@ -843,5 +873,6 @@
   g_test_add_func ("/takeover/leaving", test_leaving);
   g_test_add_func ("/takeover/shares", test_shares);
   g_test_add_func ("/takeover/follower", test_follower);
+  g_test_add_func ("/members/known-from-log", test_known_from_log);
   return g_test_run ();
 }
