--- a/lib/clog/filestore.c
+++ b/lib/clog/filestore.c
@@ -13,8 +13,8 @@
 #define DIRECTORY_MODE 0700
 #define HEADER_BYTES 8 /* length and CRC-32, both big-endian */
 #define DISK_ID_BYTES 16
-#define SYNC_SLOW 200000 /* microseconds, two thirds of an election timeout   \
-                          */
+/* Microseconds; two thirds of an election timeout.  */
+#define SYNC_SLOW 200000
 
 struct ClFileStore
 {
