--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -170,7 +170,7 @@
 check odd-port-refused $?
 # A heartbeat with an address of no use ended the entry hosts, at each start again.
 odd='{"serviceName":"stock","address":"[fe80::1%nic9]:8167","zone":"dc1","version":"v1","capacity":2,"state":"ready","coldRemainingMs":0,"dbRole":"replica","sequence":1,"born":1700000000000}'
-[ "$(announced i-odd "$odd")" = 400 ] && sleep 1 && kill -0 "${PID[4]}" "${PID[5]}" "${PID[6]}"
+[ "$(announced i-odd "$odd")" = 400 ] && sleep 1 && kill -0 "${PID[host4]}" "${PID[host5]}" "${PID[host6]}"
 check odd-address-refused $?
 once 4 orders "READ g" "ROW 1 *"
 check serves-after-odd-announcements $? "$answer"
