--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -275,8 +275,7 @@
   fo_lead (core->failover);
 }
 
-/* Logs an election that this host calls, and how late it is for that: a host
-   that was busy, or waited for its disk, runs its timers late.  */
+/* Logs an election that this host calls.  */
 static void
 log_election (CoCore *core)
 {
