--- a/review/standin-3/rig.py
+++ b/review/standin-3/rig.py
@@ -424,10 +424,13 @@
 
     async def append(self, primary, writes):
         """Commits WRITES once one replica has received them; the others that can receive do so as well."""
-        primary.log.append((self.term, tuple(writes)))
+        entry = (self.term, tuple(writes))
+        primary.log.append(entry)
         primary.received_at.append(time.monotonic())
         length = len(primary.log)
         while True:
+            if not primary.primary or primary.log[length - 1] is not entry:
+                raise ConnectionError  # it lost the lead
             received = [d.id for d in self.databases if self.receive(d, primary) and len(d.log) >= length]
             if received:
                 self.rig.record.add("commit", self.name, primary.id, primary.position(length), "received by",
@@ -495,12 +498,12 @@
             if line.startswith("READY") or (line.startswith("ERR") and self.serial == 0):
                 return lines
 
-    async def query(self, text):
-        """Returns the answer's lines without READY."""
+    async def query(self, text, shown=None):
+        """Returns the answer's lines without READY; the record has SHOWN in place of TEXT."""
         self.serial += 1
         ident = "%s-%d" % (self.name, self.serial)
         self.sent_at = time.monotonic()
-        self.rig.record.add("client", self.name, "at", self.machine.name, "QUERY", ident, text)
+        self.rig.record.add("client", self.name, "at", self.machine.name, "QUERY", ident, shown or text)
         self.writer.write(("QUERY %s %s\r\n" % (ident, text)).encode())
         lines = await self.answer()
         self.rig.record.add("client", self.name, "at", self.machine.name, "answer", ident, " | ".join(lines))
