--- a/review/12/case.py
+++ b/review/12/case.py
@@ -25,6 +25,7 @@
     async def writes():
         return await rig.served(entry, "batch", "WRITE 1a4 x")
     await rig.eventually(20, "no write is served", writes)
+    await asyncio.sleep(2)  # all machines know the manifest
     ends = {m.name: [] for m in rig.controls}
     for m in rig.controls:
         rig.tasks.append(asyncio.create_task(keep_running(rig, m, ends)))
