A text of the JSON value null is refused like any other that is no object

Callers saw: a ping of another writer with the body null ended the control process that read it (SIGABRT), one after the other; galenamount apply of a file that says null ended the host it was sent to; such a manifest was answered 200; galenamount check called such a file ok, and galenamountd ended with status 0. Cause: json-c gives NULL as the root of null; js_parse took that for a failure that had been reported and left the caller's status unset, which was then read. Evidence: with the status set to an impossible kind beforehand, null alone leaves it as it was, in each of the four readers. Change: js_parse tells success from the root, which is NULL for null; every reader checks the type of the root already and reports its place. Ruled out: an error by json-c (it reports success); a reader that lacks the check of the type (each of them has it).

--- a/lib/json/json.c
+++ b/lib/json/json.c
@@ -289,25 +289,25 @@
   return TRUE;
 }
 
-static json_object *
-parse_text (Scanner *s)
+/* Parses the text into ROOT, which is NULL for the value null too.  */
+static gboolean
+parse_text (Scanner *s, json_object **root)
 {
   struct json_tokener *tokener = json_tokener_new_ex (JS_DEPTH_MAX + 2);
-  json_object *root = json_tokener_parse_ex (tokener, s->text, (int)s->length);
+  *root = json_tokener_parse_ex (tokener, s->text, (int)s->length);
   enum json_tokener_error error = json_tokener_get_error (tokener);
   if (error == json_tokener_continue)
     {
-      root = json_tokener_parse_ex (tokener, "\n", 1);
+      *root = json_tokener_parse_ex (tokener, "\n", 1);
       error = json_tokener_get_error (tokener);
     }
   if (error != json_tokener_success)
     {
       s->offset = json_tokener_get_parse_end (tokener);
       scan_error (s, json_tokener_error_desc (error));
-      root = NULL;
     }
   json_tokener_free (tokener);
-  return root;
+  return error == json_tokener_success;
 }
 
 static Scanner
@@ -350,11 +350,12 @@
   document->text = g_memdup2 (text, length);
   document->length = length;
   Scanner scanner = scanner_of (document, status);
-  if (!g_utf8_validate_len (text, length, NULL))
+  gboolean good = g_utf8_validate_len (text, length, NULL);
+  if (!good)
     gm_fail (status, GM_INVALID, "%s: not UTF-8 text", name);
-  else if (scan_text (&scanner))
-    document->root = parse_text (&scanner);
-  if (document->root == NULL)
+  good
+      = good && scan_text (&scanner) && parse_text (&scanner, &document->root);
+  if (!good)
     g_clear_pointer (&document, js_free);
   return document;
 }
--- a/lib/json/json.h
+++ b/lib/json/json.h
@@ -27,7 +27,8 @@
 void js_free (JsDocument *document);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (JsDocument, js_free)
 
-/* Returns the root value, owned by DOCUMENT.  */
+/* Returns the root value, owned by DOCUMENT; NULL stands for the value null.
+   json_object_is_type tells it from an object.  */
 json_object *js_root (const JsDocument *document);
 /* Returns the member NAME of OBJECT, or NULL if it is missing or not of TYPE.
    For documents of other programs, whose unknown members are ignored.  */
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -264,8 +264,24 @@
 run_on "$through" --service quote put large "$large" >/dev/null && run_on "$through" --service quote --read get large 2>&1 | grep -q too_large
 check answers-are-bounded $?
 
+# A file of the JSON value null, which is neither settings nor a declaration, was
+# taken as good, and ended the host that it was sent to.
+echo null > "$DIR/null.json"
+"$BIN/galenamount" check "$DIR/null.json" >"$DIR/null.out" 2>&1
+[ $? = 2 ] && grep -q 'null.json:1:1: the text: must be an object' "$DIR/null.out"
+check null-is-no-declaration $? "$(cat "$DIR/null.out")"
+"$BIN/galenamount" check --settings "$DIR/null.json" >"$DIR/null.out" 2>&1
+[ $? = 2 ] && grep -q 'must be an object' "$DIR/null.out"
+check null-is-no-settings $? "$(cat "$DIR/null.out")"
+"$BIN/galenamountd" --settings "$DIR/null.json" >"$DIR/null.out" 2>&1
+[ $? = 2 ] && grep -q 'must be an object' "$DIR/null.out"
+check daemon-without-settings-fails $? "$(cat "$DIR/null.out")"
+operate "$through" apply "$DIR/null.json" >"$DIR/null.out" 2>&1
+[ $? = 2 ] && grep -q 'must be an object' "$DIR/null.out" && kill -0 "${PID[host$through]}"
+check applied-null-is-refused $? "$(cat "$DIR/null.out")"
+
 # Bad input from callers and on links.
-for body in '' '{' '{"service": 5}' '{"service": "quote", "statement": "put", "service": "quote"}' '{"service": "nobody", "statement": "x"}'; do
+for body in '' '{' null ' null ' '{"service": 5}' '{"service": "quote", "statement": "put", "service": "quote"}' '{"service": "nobody", "statement": "x"}'; do
   printf 'POST /v1/statement HTTP/1.0\r\nContent-Length: %s\r\n\r\n%s' "${#body}" "$body" |
     timeout 5 bash -c "exec 3<>/dev/tcp/127.0.0.1/$((BASE + through * 3)); cat >&3; head -1 <&3" | grep -q ' 40[04] ' || echo "$body" >> "$DIR/bad.out"
 done
