A status begins as an internal error, not without a value or as ok

Callers saw: nothing by this alone. It is why a document of null ended processes at one place and was acknowledged at another: its failure stored no reason. Change: GM_STATUS_UNSET, an internal error, is the first value of each. galenamount check goes by what was read. Ruled out, by reading each function that takes a status: another failure that stores nothing.

--- a/cli/commands.c
+++ b/cli/commands.c
@@ -126,11 +126,12 @@
   int code = 0;
   if (parse_arguments (argc, argv, table, &c, &code))
     {
-      GmStatus status = { GM_OK, "" };
+      GmStatus status = GM_STATUS_UNSET;
       const char *path = file->filename[0];
+      g_autoptr (CfSettings) read = NULL;
       g_autoptr (CfDeclaration) declaration = NULL;
       if (settings->count > 0)
-        cf_settings_free (cf_settings_read (path, &status));
+        read = cf_settings_read (path, &status);
       else
         {
           g_autofree char *text = read_file (path);
@@ -140,11 +141,13 @@
             declaration
                 = cf_declaration_parse (path, text, strlen (text), &status);
         }
-      if (status.kind == GM_OK)
+      if (read != NULL || declaration != NULL)
         print_good (path, declaration);
       else
-        fprintf (stderr, "%s\n", status.message);
-      code = gm_kind_exit (status.kind);
+        {
+          fprintf (stderr, "%s\n", status.message);
+          code = gm_kind_exit (status.kind);
+        }
     }
   arg_freetable (table, G_N_ELEMENTS (table));
   return code;
@@ -165,7 +168,7 @@
       const char *name = who->count > 0 ? who->sval[0] : g_get_user_name ();
       ClientTarget target = client_target (&c);
       ClientAnswer answer = { 0 };
-      GmStatus status;
+      GmStatus status = GM_STATUS_UNSET;
       code = gm_kind_exit (GM_INVALID);
       if (text != NULL)
         {
@@ -252,7 +255,7 @@
 {
   ClientTarget target = client_target (c);
   ClientAnswer answer;
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   GmKind sent
       = client_send (&target, "GET", path, NULL, NULL, &answer, &status);
   if (sent != GM_OK || answer.kind != GM_OK || answer.body == NULL
@@ -386,7 +389,7 @@
 {
   ClientTarget target = client_target (c);
   ClientAnswer answer = { 0 };
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   GmKind sent
       = client_send (&target, "POST", path, body, NULL, &answer, &status);
   return print_answer (c, sent, &status, &answer);
@@ -496,7 +499,7 @@
     g_file_get_contents (o->session->sval[0], &session, NULL, NULL);
   ClientTarget target = client_target (c);
   ClientAnswer answer = { 0 };
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   GmKind sent
       = client_send_session (&target, path, body, session, &answer, &status);
   if (sent == GM_OK)
--- a/cli/load.c
+++ b/cli/load.c
@@ -306,7 +306,7 @@
       = { hosts, mix, seconds, factor, token, json, svg, quiet, help, end };
   int faults = arg_parse (argc, argv, table);
   int code = 0;
-  GmStatus status = { GM_OK, "" };
+  GmStatus status = GM_STATUS_UNSET;
   if (help->count > 0)
     {
       printf ("galenamount load: sends requests at a fixed rate, without "
--- a/daemon/announce.c
+++ b/daemon/announce.c
@@ -70,7 +70,7 @@
   (void)path;
   (void)query;
   Daemon *daemon = data;
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   Announcement a = { 0 };
   if (http_is_refused (msg))
     return;
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -349,7 +349,7 @@
   const Subscription *subscription = d->daemon->subscription;
   const CsState *state = subscription_state (subscription);
   Group *g = g_hash_table_lookup (d->groups, m->group);
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   GmKind kind = gp_check (g != NULL ? g->core : NULL, state,
                           subscription_is_fresh (subscription),
                           d->daemon->identity.incarnation, m, &status);
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -125,7 +125,7 @@
       cookie_token += strlen (TOKEN_COOKIE "=");
       text = g_strndup (cookie_token, strcspn (cookie_token, "; ,"));
     }
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   TkSession *session
       = text != NULL && *text != '\0'
             ? tk_session_parse (text, settings->cluster_key, &status)
@@ -561,7 +561,7 @@
   (void)server;
   (void)query;
   Entry *entry = data;
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   gm_count (GM_M_requests_total, 1);
   if (http_is_refused (msg)
       || !http_authorized (msg, entry->daemon->settings->caller_token))
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -87,7 +87,7 @@
 static int
 serve (const char *path, gboolean bootstrap)
 {
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   mallopt (M_MMAP_THRESHOLD, GIVEN_BACK_BYTES);
   mallopt (M_TRIM_THRESHOLD, GIVEN_BACK_BYTES);
   g_autoptr (CfSettings) settings = cf_settings_read (path, &status);
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -192,7 +192,7 @@
 {
   (void)server;
   Operator *op = data;
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   if (http_is_refused (msg)
       || !http_authorized (msg, op->daemon->settings->operator_token))
     return;
--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -430,7 +430,7 @@
     return message->type == WM_TYPE_WITHDRAW;
   Pool *pool = m->stand_in != 0 ? stand_in_pool (p, m)
                                 : g_hash_table_lookup (p->pools, m->database);
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   if (check_statement (p, pool, m, &status) != GM_OK)
     {
       if (status.kind == GM_UNKNOWN_SERVICE && m->transaction != 0)
--- a/daemon/reload.c
+++ b/daemon/reload.c
@@ -17,7 +17,7 @@
 void
 reload_now (Reload *r)
 {
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   g_autoptr (CfSettings) fresh = cf_settings_read (r->path, &status);
   if (fresh == NULL)
     {
--- a/lib/base/kind.h
+++ b/lib/base/kind.h
@@ -56,6 +56,13 @@
   char message[GM_MESSAGE_MAX];
 } GmStatus;
 
+/* The initial value of a status.  A failure that stores nothing then reads as
+   an internal error, never as success.  */
+#define GM_STATUS_UNSET                                                       \
+  {                                                                           \
+    GM_INTERNAL, "the operation failed without a reason"                      \
+  }
+
 /* Returns the text of KIND on the wire; static.  */
 const char *gm_kind_text (GmKind kind);
 /* Returns the HTTP status for KIND.  */
--- a/lib/clog/clog.c
+++ b/lib/clog/clog.c
@@ -50,7 +50,7 @@
                                .members = members,
                                .data = core->snapshot,
                                .entries = core->entries };
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   if (core->restore_due == 0 || GM_MUTANT (STOPPED_FOR_GOOD))
     core->restore_due = now + CL_STORE_RETRY;
   if (now < core->restore_due)
@@ -368,7 +368,7 @@
 void
 cl_compact (ClCore *core, GBytes *data)
 {
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   g_autoptr (GPtrArray) members = cl_members_at (core, core->applied);
   g_autoptr (GBytes) list = cl_members_encode (members);
   ClStoreContents snapshot
--- a/lib/clog/election.c
+++ b/lib/clog/election.c
@@ -19,7 +19,7 @@
 gboolean
 cl_save_vote (ClCore *core, guint64 term, const char *vote)
 {
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   GmKind kind = core->store->class->vote (core->store, term, vote, &status);
   if (!cl_check_stored (core, kind, &status))
     return FALSE;
--- a/lib/clog/replicate.c
+++ b/lib/clog/replicate.c
@@ -173,7 +173,7 @@
 gboolean
 cl_append_entries (ClCore *core, ClEntry **entries, guint count)
 {
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   if (count == 0)
     return TRUE;
   GmKind kind
@@ -206,7 +206,7 @@
 static gboolean
 truncate_from (ClCore *core, guint64 index)
 {
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   g_assert (index > core->commit);
   GmKind kind = core->store->class->truncate (core->store, index, &status);
   if (!cl_check_stored (core, kind, &status))
@@ -336,7 +336,7 @@
 static gboolean
 install_snapshot (ClCore *core, const struct wm_install *m)
 {
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   ClStoreContents snapshot = { .snapshot_index = m->index,
                                .snapshot_term = m->index_term,
                                .members = m->members,
--- a/lib/control/control.c
+++ b/lib/control/control.c
@@ -243,7 +243,7 @@
 static void
 check_disk (CoCore *core)
 {
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   gboolean failed = cl_failure (core->log, &status) != GM_OK;
   if (core->disk_failed == failed)
     return;
@@ -378,7 +378,7 @@
 handle_voter (CoCore *core, GmTime now, guint64 link, const WmMessage *m)
 {
   const struct wm_voter *v = &m->voter;
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   if (co_forward (core, m))
     return;
   if (strcmp (v->action, "replace") == 0)
--- a/lib/control/proposals.c
+++ b/lib/control/proposals.c
@@ -87,7 +87,7 @@
 settle_superseded (CoCore *core, guint64 link, const struct wm_propose *p,
                    const struct wm_cmd_config *config)
 {
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   const Proposal *highest = highest_proposal (core);
   if (GM_MUTANT (APPEND_AGAIN))
     return FALSE;
@@ -123,7 +123,7 @@
 void
 co_propose (CoCore *core, GmTime now, guint64 link, const struct wm_propose *p)
 {
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   guint64 index;
   WmMessage command;
   const struct wm_cmd_config *config = decode_highest (p->command, &command);
--- a/lib/cstate/cstate.c
+++ b/lib/cstate/cstate.c
@@ -236,7 +236,7 @@
 {
   /* A cache of the parsed text; the state itself does not change.  */
   CsState *cache = (CsState *)state;
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   if (state->parsed != NULL || state->text == NULL)
     return state->parsed;
   g_autoptr (GBytes) text = cs_unpack (state->text, state->packed);
--- a/lib/wire/link.c
+++ b/lib/wire/link.c
@@ -245,7 +245,7 @@
 handle_frame (LkLink *link, const guint8 *frame, gsize length)
 {
   WmMessage message;
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   gm_count (GM_M_frames_in_total, 1);
   if (wm_decode (frame, length, &message, &status) != GM_OK)
     {
--- a/standin/lines.c
+++ b/standin/lines.c
@@ -343,7 +343,7 @@
 handle_request (Session *s, char *line)
 {
   LnRequest r;
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   const MdDatabase *d = s->database->model;
   if (ln_parse_request (line, &r, &status) != GM_OK || r.type == LN_BYE)
     {
--- a/standin/main.c
+++ b/standin/main.c
@@ -37,7 +37,7 @@
 static int
 serve (const Options *o)
 {
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   StLimits limits = { .slots = (guint)value_or (o->slots, 2),
                       .connections = (guint)value_or (o->connections, 40),
                       .service_time = value_or (o->service, 5) * GM_MS,
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -262,7 +262,7 @@
 serve (const char *listen, const char *const *control, int count)
 {
   Platform p = { 0 };
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   CfAddress base = { 0 };
   if (!cf_address_parse (listen, &base))
     {
--- a/standin/statement.c
+++ b/standin/statement.c
@@ -46,7 +46,7 @@
 static void
 commit (StContext *c, StAnswer *answer)
 {
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   if (c->changes->len == 0)
     return;
   g_autoptr (GBytes) block = wm_strings_encode (
@@ -179,7 +179,7 @@
 run_promote (StContext *c, StAnswer *answer)
 {
   guint64 term;
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   if (!number_param (c, 0, &term, answer))
     return;
   if (st_promote (c->store, c->now, term, &status) != GM_OK)
@@ -192,7 +192,7 @@
 run_follow (StContext *c, StAnswer *answer)
 {
   guint64 term;
-  GmStatus status;
+  GmStatus status = GM_STATUS_UNSET;
   if (!number_param (c, 0, &term, answer))
     return;
   if (st_follow (c->store, term, param (c, 1), &status) != GM_OK)
