A number that is no error kind reads as an internal error everywhere

Callers saw: nothing yet. Cause: five places turn numbers of messages into kinds, each with a check of its own or none. Change: gm_kind_from_number at each of them.

--- a/daemon/subscription.c
+++ b/daemon/subscription.c
@@ -171,8 +171,9 @@
 {
   (void)link;
   Subscription *s = owner;
-  if (m->type == WM_TYPE_PROPOSED && m->proposed.kind < GM_KIND_COUNT)
-    finish_request (s, m->proposed.sequence, (GmKind)m->proposed.kind,
+  if (m->type == WM_TYPE_PROPOSED)
+    finish_request (s, m->proposed.sequence,
+                    gm_kind_from_number (m->proposed.kind),
                     m->proposed.message, NULL);
   else if (m->type == WM_TYPE_STATUS_TEXT)
     finish_request (s, m->status_text.sequence, GM_OK, "",
--- a/lib/base/kind.c
+++ b/lib/base/kind.c
@@ -51,6 +51,12 @@
   return GM_INTERNAL;
 }
 
+GmKind
+gm_kind_from_number (guint64 number)
+{
+  return number < GM_KIND_COUNT ? (GmKind)number : GM_INTERNAL;
+}
+
 GmKind
 gm_fail (GmStatus *status, GmKind kind, const char *format, ...)
 {
--- a/lib/base/kind.h
+++ b/lib/base/kind.h
@@ -74,6 +74,9 @@
 /* Returns the kind whose text on the wire is TEXT, or GM_INTERNAL when there
    is none.  */
 GmKind gm_kind_from_text (const char *text);
+/* Returns the kind NUMBER of a message or record, or GM_INTERNAL when there is
+   none: a later version may have more kinds.  */
+GmKind gm_kind_from_number (guint64 number);
 
 /* Stores KIND and a formatted message in STATUS (NULL is allowed) and returns
    KIND.  A message longer than GM_MESSAGE_MAX is truncated.  */
--- a/lib/cstate/snapshot.c
+++ b/lib/cstate/snapshot.c
@@ -203,12 +203,15 @@
                       m->rec_history.version };
       g_array_append_val (state->history, h);
     }
-  else if (m->type == WM_TYPE_REC_AUDIT && m->rec_audit.kind < GM_KIND_COUNT)
+  else if (m->type == WM_TYPE_REC_AUDIT)
     {
-      CsAudit a = { m->rec_audit.version,     m->rec_audit.when,
-                    m->rec_audit.who,         m->rec_audit.what,
-                    m->rec_audit.number,      m->rec_audit.digest,
-                    (GmKind)m->rec_audit.kind };
+      CsAudit a = { m->rec_audit.version,
+                    m->rec_audit.when,
+                    m->rec_audit.who,
+                    m->rec_audit.what,
+                    m->rec_audit.number,
+                    m->rec_audit.digest,
+                    gm_kind_from_number (m->rec_audit.kind) };
       cs_add_audit (state, &a);
     }
   else if (m->type == WM_TYPE_CMD_HOST)
--- a/lib/route/route.c
+++ b/lib/route/route.c
@@ -109,9 +109,9 @@
   action->request = request;
   wm_copy (&action->result, result);
   struct wm_result *r = &action->result.result;
-  if (r->kind >= GM_KIND_COUNT)
-    r->kind = GM_INTERNAL;
-  if (request->maybe_ran && gm_kind_ran ((GmKind)r->kind) == GM_RAN_NO)
+  GmKind kind = gm_kind_from_number (r->kind);
+  r->kind = kind;
+  if (request->maybe_ran && gm_kind_ran (kind) == GM_RAN_NO)
     {
       r->kind = GM_OUTCOME_UNKNOWN;
       g_free (r->message);
--- a/lib/session/refusal.c
+++ b/lib/session/refusal.c
@@ -127,7 +127,7 @@
                   (CfRank)report.rank, call->sent_at,
                   done->kind == GM_DEADLINE || done->kind == GM_QUEUE_FULL
                       || now - call->sent_at > slow_after (service));
-  GmKind kind = (GmKind)done->kind;
+  GmKind kind = gm_kind_from_number (done->kind);
   if (kind == GM_OK || is_database_failure (kind))
     sr_note_result (world->router, now, call->database, kind != GM_OK);
   if (call->min_position.position > 0
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -557,7 +557,7 @@
       step->signature = g_strdup (done->signature);
       step->rows = done->rows != NULL ? g_bytes_ref (done->rows) : NULL;
     }
-  sn_answer (s, step, (GmKind)done->kind,
+  sn_answer (s, step, gm_kind_from_number (done->kind),
              done->message != NULL ? done->message : "");
 }
 
@@ -566,7 +566,7 @@
            const struct wm_statement_done *done, SnStep *step)
 {
   memset (step, 0, sizeof *step);
-  GmKind kind = done->kind < GM_KIND_COUNT ? (GmKind)done->kind : GM_INTERNAL;
+  GmKind kind = gm_kind_from_number (done->kind);
   GmTime held = (GmTime)MIN (done->held, G_MAXINT32);
   s->call.network_time += MAX (world->now - s->call.sent_at - held, 0);
   sn_update_router (s, world, done);
--- a/tests/test_kinds.c
+++ b/tests/test_kinds.c
@@ -63,11 +63,24 @@
   g_assert_cmpstr (status.message, !=, "");
 }
 
+/* Kinds come from other processes as numbers.  */
+static void
+test_from_number (void)
+{
+  for (guint i = 0; i < GM_KIND_COUNT; i++)
+    g_assert_cmpuint (gm_kind_from_number (i), ==, i);
+  static const guint64 unknown[]
+      = { GM_KIND_COUNT, GM_KIND_COUNT + 5, G_MAXUINT32, G_MAXUINT64 };
+  for (gsize i = 0; i < G_N_ELEMENTS (unknown); i++)
+    g_assert_cmpint (gm_kind_from_number (unknown[i]), ==, GM_INTERNAL);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/kinds/declared", test_declared);
   g_test_add_func ("/kinds/unset", test_unset);
+  g_test_add_func ("/kinds/from-number", test_from_number);
   return g_test_run ();
 }
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -315,6 +315,32 @@
     }
 }
 
+/* Guards against an answer of a kind that this host does not know, as a later
+   version may send it: it ended the entry host.  */
+static void
+test_unknown_kind (void)
+{
+  static const guint64 kinds[]
+      = { GM_KIND_COUNT, GM_KIND_COUNT + 5, G_MAXUINT32 };
+  static const SnVerb verbs[] = { SN_READ, SN_WRITE, SN_COMMIT };
+  for (guint i = 0; i < G_N_ELEMENTS (kinds) * G_N_ELEMENTS (verbs); i++)
+    {
+      SnVerb verb = verbs[i % G_N_ELEMENTS (verbs)];
+      Bench b = bench_new ("primary");
+      if (verb == SN_COMMIT)
+        {
+          take (&b, SN_BEGIN, NULL, NULL);
+          take (&b, SN_WRITE, NULL, NULL);
+          result (&b, GM_OK, TRUE, 3);
+        }
+      take (&b, verb, NULL, NULL);
+      result (&b, (GmKind)kinds[i / G_N_ELEMENTS (verbs)], FALSE, 0);
+      g_assert_cmpint (b.step.next, ==, SN_ANSWER);
+      g_assert_cmpint (b.step.kind, ==, GM_INTERNAL);
+      bench_free (&b);
+    }
+}
+
 /* The database and host that a statement is sent to while hosts that hold
    queues are silent; "" if the statement waits.  */
 static const struct
@@ -627,6 +653,7 @@
   g_test_add_func ("/session/lag", test_lag);
   g_test_add_func ("/session/short-lag", test_short_lag);
   g_test_add_func ("/session/losses", test_losses);
+  g_test_add_func ("/session/unknown-kind", test_unknown_kind);
   g_test_add_func ("/session/script", test_script);
   g_test_add_func ("/session/failed-transaction", test_failed_transaction);
   g_test_add_func ("/session/no-primary", test_no_primary);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -633,6 +633,25 @@
     }
 }
 
+/* Guards against a snapshot that is refused whole since its audit trail has an
+   outcome that this host does not know, as a later version may write it.  */
+static void
+test_unknown_outcome (void)
+{
+  g_autoptr (CsState) state = cs_new ();
+  WmMessage c = config (1, 0);
+  g_assert_cmpint (cs_apply (state, 1, &c, NULL), ==, GM_OK);
+  wm_clear (&c);
+  ((CsAudit *)g_queue_peek_head (&state->audit))->kind
+      = (GmKind)(GM_KIND_COUNT + 5);
+  g_autoptr (GBytes) block = cs_encode (state);
+  g_autoptr (CsState) copy = cs_decode (state->version, block);
+  g_assert_nonnull (copy);
+  const CsAudit *audit = g_queue_peek_head (&copy->audit);
+  g_assert_cmpint (audit->kind, ==, GM_INTERNAL);
+  g_assert_cmpuint (copy->number, ==, 1);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -650,5 +669,6 @@
   g_test_add_func ("/state/shares", test_shares);
   g_test_add_func ("/state/restart", test_restart);
   g_test_add_func ("/state/read-on-demand", test_parse_on_demand);
+  g_test_add_func ("/state/unknown-outcome", test_unknown_outcome);
   return g_test_run ();
 }
