A session sees its own writes after its route has moved and come back

Cause: the session kept the position of its last write for one group and cleared it when the route moved; back there, its reads asked for an older sample. Change: the time of the last write outlives the move. Where the session has no position, a read needs a sample of the group's position that is not older, which includes the write; without one it runs at the primary. Ruled out: a replica that claims a position it lacks (the position asked for is too low). Weighed: a position for each group; it grows with the groups.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 	@$(BUILD)/sessions --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
 	@$(BUILD)/sessions --deposed-serves --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
 	@$(BUILD)/sessions --releases --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
+	@$(BUILD)/sessions --moves --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
 	@$(BUILD)/sessions --customers --seed $(SEED) --seeds $(SEEDS) --steps $(STEPS)
 
 # Real processes under seeded faults; MODE is an argument of tests/soak.sh.
--- a/lib/session/core.h
+++ b/lib/session/core.h
@@ -52,9 +52,12 @@
   SnState state;
   gboolean transaction_read_only;
   gboolean transaction_wrote;
-  GmTime waited;      /* by the caller, before its first statement */
-  TkPoint last_write; /* position after the session's last write */
-  GmTime last_write_at;
+  GmTime waited; /* by the caller, before its first statement */
+  /* The position after the session's last write, in the log of group; number
+     0: it has written nothing there since its route has moved there, or the
+     position is not known.  */
+  TkPoint last_write;
+  GmTime last_write_at;  /* in any group; 0: it has written nothing */
   TkPoint last_position; /* after the last statement */
 
   /* Where the transaction is open; transaction is 0 until its first statement
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -307,6 +307,21 @@
   };
 }
 
+/* The time since which acknowledged writes must be visible to a read.  A
+   session whose route has moved has no position of its own writes, but every
+   position that the group's primary has proved since them includes them.  */
+static GmTime
+visible_since (const SnSession *s, const CfService *service)
+{
+  GmTime since
+      = service->max_age_ms < 0
+            ? G_MININT64
+            : s->call.arrived - service->max_age_ms * GM_MS + AGE_MARGIN;
+  gboolean by_time = service->reads == CF_READS_SESSION
+                     && s->last_write_at != 0 && s->last_write.position == 0;
+  return by_time ? MAX (since, s->last_write_at) : since;
+}
+
 /* Sets the position that a read must see.  FALSE when there is none, and the
    read must run at a primary that proves its lead.  */
 static gboolean
@@ -318,12 +333,8 @@
   call->min_position = (TkPoint){ 0, 0 };
   if (service->reads == CF_READS_PRIMARY)
     return FALSE;
-  GmTime since
-      = service->max_age_ms < 0
-            ? G_MININT64
-            : call->arrived - service->max_age_ms * GM_MS + AGE_MARGIN;
-  if (!sr_position (world->router, s->group, since, &call->min_position,
-                    &call->min_position_at))
+  if (!sr_position (world->router, s->group, visible_since (s, service),
+                    &call->min_position, &call->min_position_at))
     return FALSE;
   if (session && tk_point_compare (s->last_write, call->min_position) > 0)
     {
@@ -437,6 +448,9 @@
       g_free (s->group);
       s->group = g_strdup (group);
       s->last_write = (TkPoint){ 0, 0 };
+      s->last_position = (TkPoint){ 0, 0 };
+      if (GM_MUTANT (MOVED_FORGOTTEN))
+        s->last_write_at = 0;
     }
   const CsDatabase *database = choose_database (s, world, service);
   if (database == NULL
@@ -542,11 +556,12 @@
   gboolean committed = call->operation == PL_COMMIT && done->kind == GM_OK;
   gboolean wrote
       = call->operation == PL_WRITE || (committed && s->transaction_wrote);
-  if (done->kind == GM_OK && done->point_number > 0)
-    s->last_position = (TkPoint){ done->point_term, done->point_number };
+  TkPoint point = { done->point_term, done->point_number };
+  if (done->kind == GM_OK && point.position > 0)
+    s->last_position = point;
   if (done->kind == GM_OK && wrote)
     {
-      s->last_write = s->last_position;
+      s->last_write = point;
       s->last_write_at = world->now;
     }
   if (committed)
--- a/tests/fuzz/session_control.c
+++ b/tests/fuzz/session_control.c
@@ -484,6 +484,32 @@
     lose_sight (w, d);
 }
 
+void
+sw_move_routes (World *w, gboolean away)
+{
+  const char *group = away ? "empty" : "g";
+  g_autofree char *declaration = g_strdup_printf (
+      "{\"number\": %" G_GUINT64_FORMAT
+      ", \"groups\": [{\"name\": \"g\"}%s], \"services\": ["
+      "{\"name\": \"primary\", \"depends_on\": [\"%s\"], \"rank\": "
+      "\"urgent\", \"deadline_ms\": 800, \"reads\": \"primary\"},"
+      "{\"name\": \"session\", \"depends_on\": [\"%s\"], \"rank\": "
+      "\"routine\", \"deadline_ms\": 800, \"reads\": \"session\", "
+      "\"max_age_ms\": 400},"
+      "{\"name\": \"bounded\", \"depends_on\": [\"%s\"], \"rank\": \"bulk\", "
+      "\"deadline_ms\": 1200, \"reads\": \"bounded\", \"max_age_ms\": 400}]}",
+      ++w->declarations, w->moves ? ", {\"name\": \"empty\"}" : "", group,
+      group, group);
+  g_autoptr (GBytes) text = g_bytes_new (declaration, strlen (declaration));
+  WmMessage config = { .type = WM_TYPE_CMD_CONFIG,
+                       .cmd_config = { .number = w->declarations,
+                                       .digest = (char *)"d",
+                                       .text = text,
+                                       .who = (char *)"test" } };
+  w->moved = away;
+  sw_commit (w, &config);
+}
+
 static void
 inject_faults (World *w)
 {
@@ -517,6 +543,9 @@
     sw_announce_host (w, a, gm_random_below (&w->random, 2) == 0);
   if (w->releases)
     inject_changes (w, d);
+  /* Away for a shorter time than at home.  */
+  if (w->moves && sw_chance (w, w->moved ? 100 : 20))
+    sw_move_routes (w, !w->moved);
   if (w->customers)
     {
       sw_change_keys (w);
--- a/tests/fuzz/sessions.h
+++ b/tests/fuzz/sessions.h
@@ -116,6 +116,8 @@
   gboolean faults_ended;    /* no new faults are injected */
   gboolean releases;        /* databases are replaced, or out of sight, too */
   gboolean customers;       /* the declaration names customers */
+  gboolean moves;           /* routes go to an empty group and back */
+  gboolean moved;           /* to the empty group */
   gboolean own_connections; /* a connection serves one customer */
   GArray *holdings[KEYS];   /* Holding, by time */
   guint64 declarations;     /* number of the last one */
@@ -191,5 +193,8 @@
    database that is out of sight is not announced.  */
 void sw_announce (World *w, const MdDatabase *d);
 void sw_announce_host (World *w, const Host *host, gboolean pool);
+/* Commits a declaration whose services all depend on g or, with AWAY, on a
+   group without databases.  */
+void sw_move_routes (World *w, gboolean away);
 /* Event, every TICK_INTERVAL: replication, faults, timers of the cores.  */
 void sw_tick (World *w, gpointer data);
--- a/tests/three.h
+++ b/tests/three.h
@@ -7,3 +7,8 @@
    databases db0 to db2 are in dc0 to dc2, their queues are held by host0 to
    host2, and db0 is the primary.  */
 CsState *three_databases (const char *declaration);
+/* Adds three databases of GROUP, which is declared too, on the same hosts:
+   GROUP followed by 0 to 2.  The first is the primary.  */
+void three_more (CsState *state, const char *group);
+/* Puts the DECLARATION with NUMBER in force.  */
+void three_declare (CsState *state, guint64 number, const char *declaration);
