A session does not wait for a position that no log will have

Callers saw: nothing reported. Where a group's databases start anew while a session that wrote there is open, each of its reads is refused as lagging, for ever. Cause: reads ask for the position of the session's last write whatever the primary has proved since. Change: that position counts only until one is at hand that was proved after the write, which includes it. Ruled out: dropping samples whose position is higher than a later one; positions of two pools that overlap go down without a fault (trial).

--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -336,7 +336,10 @@
   if (!sr_position (world->router, s->group, visible_since (s, service),
                     &call->min_position, &call->min_position_at))
     return FALSE;
-  if (session && tk_point_compare (s->last_write, call->min_position) > 0)
+  /* A position that was proved after the write includes it.  If it is lower,
+     the log has started anew, and no copy will ever have the write.  */
+  if (session && call->min_position_at < s->last_write_at
+      && tk_point_compare (s->last_write, call->min_position) > 0)
     {
       call->min_position = s->last_write;
       call->min_position_at = s->last_write_at;
