A token that has lost a group's position is not trusted there

Callers saw: nothing reported. Over HTTP, a session that has seen more than 32 groups, or whose token was refused, reads at a replica without its own write in a group that its token no longer names. Cause: a missing position counted as never seen, whether or not it was dropped. Change: an incomplete session says so in its token; in a group without a position its reads ask for the newest that was acknowledged, as without a token. Result: /decoders/forgotten-group failed before ("(1 == 0)" at 33 groups), with tk_session_covers answering as the entry host did; it passes. Process tests pass.

--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -108,7 +108,8 @@
 
 /* The session from MSG's token, which comes in a header or a cookie.  A token
    with a bad signature counts as no token, and TRUSTED is then FALSE: the
-   dispatcher reads the newest acknowledged data for such a request.  */
+   dispatcher reads the newest acknowledged data for such a request.  The token
+   that replaces it can't tell what the session has seen before.  */
 static TkSession *
 read_session (const Entry *entry, SoupServerMessage *msg, gboolean *trusted)
 {
@@ -135,6 +136,8 @@
     {
       gm_count (GM_M_tokens_forged_total, 1);
       gm_log (GM_EV_TOKEN_FORGED, "%s", status.message);
+      session = tk_session_new ();
+      session->incomplete = TRUE;
     }
   return session != NULL ? session : tk_session_new ();
 }
@@ -458,6 +461,7 @@
   Caller *caller = g_new0 (Caller, 1);
   gboolean trusted;
   caller->session = read_session (entry, msg, &trusted);
+  trusted = trusted && tk_session_covers (caller->session, group);
   TkPoint point = tk_session_point (caller->session, group);
   RqRequest *request = rq_request_new ();
   request->owner = caller;
--- a/lib/token/token.c
+++ b/lib/token/token.c
@@ -7,6 +7,9 @@
 #define TOKEN_PREFIX "g1"
 #define SESSION_PURPOSE "session"
 #define DIGEST_BYTES 32
+/* Stands in a token for the groups of an incomplete session.  No group has
+   this name.  */
+#define LOST_GROUPS ""
 
 static void
 group_point_clear (gpointer data)
@@ -87,7 +90,10 @@
           || !g_ascii_string_to_unsigned (position, 10, 0, G_MAXUINT64,
                                           &point.position, NULL))
         return FALSE;
-      tk_session_raise (session, g_ptr_array_index (parts, i), point);
+      if (strcmp (g_ptr_array_index (parts, i), LOST_GROUPS) == 0)
+        session->incomplete = TRUE;
+      else
+        tk_session_raise (session, g_ptr_array_index (parts, i), point);
     }
   return TRUE;
 }
@@ -122,19 +128,26 @@
   return session;
 }
 
+static void
+add_parts (GPtrArray *parts, const char *group, TkPoint point)
+{
+  g_ptr_array_add (parts, g_strdup (group));
+  g_ptr_array_add (parts, g_strdup_printf ("%" G_GUINT64_FORMAT, point.term));
+  g_ptr_array_add (parts,
+                   g_strdup_printf ("%" G_GUINT64_FORMAT, point.position));
+}
+
 char *
 tk_session_serialize (const TkSession *session, const char *key)
 {
   g_autoptr (GPtrArray) parts = g_ptr_array_new_with_free_func (g_free);
+  if (session->incomplete)
+    add_parts (parts, LOST_GROUPS, (TkPoint){ 0, 0 });
   for (guint i = 0; i < session->group_points->len; i++)
     {
       const TkGroupPoint *entry
           = &g_array_index (session->group_points, TkGroupPoint, i);
-      g_ptr_array_add (parts, g_strdup (entry->group));
-      g_ptr_array_add (
-          parts, g_strdup_printf ("%" G_GUINT64_FORMAT, entry->point.term));
-      g_ptr_array_add (parts, g_strdup_printf ("%" G_GUINT64_FORMAT,
-                                               entry->point.position));
+      add_parts (parts, entry->group, entry->point);
     }
   g_autoptr (GBytes) block
       = wm_strings_encode ((const char *const *)parts->pdata, parts->len);
@@ -166,6 +179,12 @@
 }
 
 gboolean
+tk_session_covers (const TkSession *session, const char *group)
+{
+  return !session->incomplete || find_group_point (session, group) != NULL;
+}
+
+void
 tk_session_raise (TkSession *session, const char *group, TkPoint point)
 {
   TkGroupPoint *entry = find_group_point (session, group);
@@ -173,14 +192,16 @@
     {
       if (tk_point_compare (point, entry->point) > 0)
         entry->point = point;
-      return TRUE;
+      return;
+    }
+  while (session->group_points->len + (session->incomplete ? 1 : 0)
+         >= TK_GROUPS_MAX)
+    {
+      session->incomplete = TRUE;
+      g_array_remove_index (session->group_points, 0);
     }
-  gboolean at_limit = session->group_points->len >= TK_GROUPS_MAX;
-  if (at_limit)
-    g_array_remove_index (session->group_points, 0);
   TkGroupPoint added = { g_strdup (group), point };
   g_array_append_val (session->group_points, added);
-  return !at_limit;
 }
 
 gboolean
--- a/lib/token/token.h
+++ b/lib/token/token.h
@@ -26,6 +26,9 @@
 typedef struct
 {
   GArray *group_points;
+  /* It has had points that it has no more: of groups that did not fit, or in a
+     token that was refused.  */
+  gboolean incomplete;
 } TkSession;
 
 /* Returns an empty session; free it with tk_session_free.  */
@@ -48,11 +51,13 @@
                  const char *key);
 /* Returns the point of GROUP, or zeros if SESSION has none.  */
 TkPoint tk_session_point (const TkSession *session, const char *group);
+/* Whether the point of GROUP includes all that the session has seen there: it
+   has one, or has had none.  */
+gboolean tk_session_covers (const TkSession *session, const char *group);
 /* Raises the point of GROUP to POINT; a lower POINT has no effect.  If GROUP
-   is new and SESSION already has TK_GROUPS_MAX groups, removes the oldest
-   group and returns FALSE.  */
-gboolean tk_session_raise (TkSession *session, const char *group,
-                           TkPoint point);
+   is new and there is no room for it, the oldest groups are removed and
+   SESSION becomes incomplete.  */
+void tk_session_raise (TkSession *session, const char *group, TkPoint point);
 /* Returns whether a database has applied everything up to POINT, given that
    its last log entry is of LAST_TERM and entries up to APPLIED are visible. */
 gboolean tk_point_reached (TkPoint point, guint64 last_term, guint64 applied);
--- a/tests/test_decoders.c
+++ b/tests/test_decoders.c
@@ -131,6 +131,43 @@
     }
 }
 
+/* Numbers of groups that a session reads, one after the other.  */
+static const guint group_counts[]
+    = { 1, TK_GROUPS_MAX - 1, TK_GROUPS_MAX, TK_GROUPS_MAX + 1, 100 };
+
+/* Guards against a token that has lost the position of a group and is trusted
+   there: reads lacked the session's own write.  */
+static void
+test_forgotten_group (void)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (group_counts); i++)
+    {
+      g_autoptr (TkSession) session = tk_session_new ();
+      for (guint k = 1; k <= group_counts[i]; k++)
+        {
+          g_autofree char *group = g_strdup_printf ("group%u", k);
+          tk_session_raise (session, group, (TkPoint){ 1, k });
+          g_autofree char *text = tk_session_serialize (session, KEY);
+          tk_session_free (session);
+          session = tk_session_parse (text, KEY, NULL);
+          g_assert_nonnull (session);
+        }
+      guint known = 0;
+      for (guint k = 1; k <= group_counts[i]; k++)
+        {
+          g_autofree char *group = g_strdup_printf ("group%u", k);
+          guint64 position = tk_session_point (session, group).position;
+          g_assert_cmpint (tk_session_covers (session, group), ==,
+                           position != 0);
+          g_assert_true (position == 0 || position == k);
+          known += position != 0 ? 1 : 0;
+        }
+      g_assert_cmpuint (known, >=, MIN (group_counts[i], TK_GROUPS_MAX - 1));
+      g_assert_cmpint (tk_session_covers (session, "never seen"), ==,
+                       known == group_counts[i]);
+    }
+}
+
 static void
 test_packed (void)
 {
@@ -292,6 +329,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/decoders/garbage", test_garbage);
   g_test_add_func ("/decoders/tokens", test_tokens);
+  g_test_add_func ("/decoders/forgotten-group", test_forgotten_group);
   g_test_add_func ("/decoders/packed", test_packed);
   g_test_add_func ("/decoders/wide", test_wide);
   g_test_add_func ("/decoders/keys", test_keys);
