A holder that is behind runs statements of a route that it does not know yet

Cause: the holder of a queue looked each statement's service up in its own copy of the configuration, and took one that it lacked for gone. Change: a statement carries the number of the configuration that routed it and what it declares of the service; a holder with an older one runs it by these. A host that has had news since it sent a statement that is refused routes it again. The links' protocol has version 4.

--- a/daemon/pools.c
+++ b/daemon/pools.c
@@ -372,8 +372,8 @@
   if (!pl_has_room (m, cf_buffers_max (p->daemon->settings)))
     return gm_fail (status, GM_QUEUE_FULL,
                     "not run: too many large statements are waiting");
-  if (cs_declaration (state) == NULL
-      || cf_service_find (cs_declaration (state), m->service) == NULL)
+  CfService undeclared;
+  if (pl_service_of (m, state, &undeclared) == NULL)
     return gm_fail (status, GM_UNKNOWN_SERVICE, "not run: no such service");
   return gm_ok (status);
 }
@@ -439,9 +439,9 @@
       return TRUE;
     }
   const CsState *state = subscription_state (p->daemon->subscription);
+  CfService undeclared;
   PlRequest *request = pl_request_from_message (
-      m, cf_service_find (cs_declaration (state), m->service),
-      pool_now (pool));
+      m, pl_service_of (m, state, &undeclared), pool_now (pool));
   request->owner = GSIZE_TO_POINTER (number);
   pl_submit (pool->core, pool_now (pool), request);
   pool_pump (pool);
--- a/lib/base/mutant.h
+++ b/lib/base/mutant.h
@@ -55,6 +55,7 @@
   X (UNSETTLED_SERVES, "writes go to a database not yet confirmed primary")   \
   X (STAY_OUT, "a voter removed during a partition never rejoins")            \
   X (QUEUE_ON_ONE_HOST, "a queue stays on one host even if its link is slow") \
+  X (BEHIND_REFUSES, "a holder refuses a service that it does not know yet")  \
   X (MOVED_FORGOTTEN, "a session forgets its writes when its route moves")    \
   X (OLD_SAMPLE, "a read's position sample may exceed its age bound")         \
   X (KEY_UNLEASED, "a key is accepted without a recent control stamp")        \
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -197,6 +197,12 @@
    end.  */
 void pl_set_queue_holder (PlCore *core, GmTime now, gboolean owned);
 
+/* Returns the service of M: the one that STATE declares or, if M was routed by
+   a newer configuration, UNDECLARED, which is filled in with what M tells of
+   it.  Returns NULL if there is no such service any more.  The result borrows
+   from M and STATE.  */
+const CfService *pl_service_of (const struct wm_statement *m,
+                                const CsState *state, CfService *undeclared);
 /* Creates an empty request of SERVICE; DEADLINE is absolute.  */
 PlRequest *pl_request_new (const CfService *service, GmTime deadline);
 /* Creates the request that M asks for, with the settings of SERVICE.  */
--- a/lib/pool/request.c
+++ b/lib/pool/request.c
@@ -1,7 +1,10 @@
 #include "core.h"
+#include "base/mutant.h"
 #include <string.h>
 
 #define SMALL_STATEMENT_BYTES 4096
+/* Bounds a number off the wire; declarations allow less.  */
+#define WORTH_MAX 1000000
 
 /* Bytes of the statements of all requests in this process.  */
 static gsize held_bytes;
@@ -21,6 +24,26 @@
          || held_bytes + bytes <= bytes_max;
 }
 
+const CfService *
+pl_service_of (const struct wm_statement *m, const CsState *state,
+               CfService *undeclared)
+{
+  const CfDeclaration *declaration = cs_declaration (state);
+  const CfService *declared
+      = declaration != NULL ? cf_service_find (declaration, m->service) : NULL;
+  if (declared != NULL || m->config <= state->number
+      || GM_MUTANT (BEHIND_REFUSES))
+    return declared;
+  *undeclared = (CfService){
+    .name = m->service,
+    .rank = (CfRank)MIN (m->rank, CF_RANK_COUNT - 1),
+    .worth = (gint64)CLAMP (m->worth, 1, WORTH_MAX),
+    .target_ms = (gint64)MIN (m->target_ms, DP_DEADLINE_MAX / GM_MS),
+    .deadline_ms = (gint64)MIN (m->limit_ms, DP_DEADLINE_MAX / GM_MS),
+  };
+  return undeclared;
+}
+
 PlRequest *
 pl_request_new (const CfService *service, GmTime deadline)
 {
--- a/lib/session/core.h
+++ b/lib/session/core.h
@@ -33,6 +33,7 @@
   TkPoint min_position;   /* that a replica must have; number 0: none */
   GmTime min_position_at; /* when it was the group's newest position */
   DpBegin begins;
+  guint64 config; /* number of the configuration by which it was sent last */
   char *database;
   char *host; /* that holds the database's pool */
   char *address;
--- a/lib/session/refusal.c
+++ b/lib/session/refusal.c
@@ -182,6 +182,9 @@
     case GM_LAGGING:
     case GM_READ_ONLY:
       return TRUE;
+    case GM_UNKNOWN_SERVICE:
+      /* The holder had a newer configuration, and this host has one now.  */
+      return call->config != world->state->number;
     case GM_DEADLINE:
     case GM_QUEUE_FULL:
       /* Another replica may have a shorter queue.  Without a position, only
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -256,6 +256,16 @@
                                         : s->call.writes;
 }
 
+/* Puts into M what its queue needs to know of SERVICE.  */
+static void
+describe_service (struct wm_statement *m, const CfService *service)
+{
+  m->rank = service->rank;
+  m->worth = (guint64)service->worth;
+  m->target_ms = (guint64)MAX (service->target_ms, 0);
+  m->limit_ms = (guint64)service->deadline_ms;
+}
+
 /* Sends the statement to HOST, which holds DATABASE's pool or stands in for
    the host that does.  */
 static void
@@ -266,6 +276,7 @@
   SnCall *call = &s->call;
   const SnStatement *statement = &call->statement;
   gboolean executes = statement->verb == SN_EXECUTE;
+  const CfService *service = sn_find_service (s, world);
   char *old[] = { call->database, call->host, call->address };
   call->database = g_strdup (database);
   call->host = g_strdup (host);
@@ -274,6 +285,7 @@
     g_free (old[i]);
   call->attempts++;
   call->sent_at = world->now;
+  call->config = world->state->number;
   trace_sent (s, world, host, database, stand_in);
   sr_note_sent (world->router, world->now, database, host, sn_rank (s, world));
   if (call->attempts == 1)
@@ -303,8 +315,11 @@
         .stand_in = stand_in ? 1 : 0,
         .customer = g_strdup (call->customer),
         .movable = may_move (s, world) ? 1 : 0,
-        .writes = has_written (s) ? 1 : 0 }
+        .writes = has_written (s) ? 1 : 0,
+        .config = call->config }
   };
+  if (service != NULL)
+    describe_service (&step->statement.statement, service);
 }
 
 /* The time since which acknowledged writes must be visible to a read.  A
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -10,7 +10,7 @@
 #pragma once
 #include "base/kind.h"
 
-#define WM_VERSION 3
+#define WM_VERSION 4
 #define WM_FRAME_MAX (8 * 1024 * 1024) /* bytes, without the length prefix */
 #define WM_CONFIG_HIGHEST 1
 #define WM_CONFIG_PACKED 2
@@ -117,13 +117,16 @@
    the queue is unreachable.  customer is the name of the customer whose key
    the caller has; empty: none.  movable: another copy may run the statement,
    so a queue that can't serve it in time gives it back.  writes: it is a write
-   or ends a transaction that wrote.  */
+   or ends a transaction that wrote.  config is the number of the configuration
+   by which the sender routed it; rank, worth, target_ms and limit_ms are what
+   that declares of the service, for a receiver that does not have it yet.  */
 #define WM_STATEMENT(U, S, B) \
   U (sequence) S (database) U (incarnation) U (holder) U (operation) \
   U (begins) U (transaction) S (service) U (deadline) \
   U (waited) U (after_term) \
   U (after_number) S (id) S (text) S (prepared) S (arguments) B (values) \
-  U (stand_in) S (customer) U (movable) U (writes)
+  U (stand_in) S (customer) U (movable) U (writes) \
+  U (config) U (rank) U (worth) U (target_ms) U (limit_ms)
 /* point_term and point_number are the position after the statement.
    lead_term and lead_number are the newest position known to the pool to
    include every write acknowledged lead_age microseconds ago.  wait is the
--- a/tests/fuzz/session_callers.c
+++ b/tests/fuzz/session_callers.c
@@ -90,6 +90,15 @@
   const MdStatement *s = c->statement;
   gboolean none = gm_kind_ran (step->kind) == GM_RAN_NO;
   w->answers[step->kind]++;
+  /* A transaction may have been opened under a configuration that had the
+     service, and the next one not.  */
+  if (step->kind == GM_UNKNOWN_SERVICE && !c->in_transaction
+      && cf_service_find (cs_declaration (c->host->state),
+                          sn_service (c->session))
+             != NULL
+      && c->host->state->number == w->declarations && w->all_declared != 0
+      && w->all_declared <= c->arrived)
+    sw_violation ("a service that the entry host knows is refused as unknown");
   if (step->kind == GM_OK)
     check_success (w, c, step);
   else
--- a/tests/fuzz/session_control.c
+++ b/tests/fuzz/session_control.c
@@ -495,11 +495,13 @@
       "\"urgent\", \"deadline_ms\": 800, \"reads\": \"primary\"},"
       "{\"name\": \"session\", \"depends_on\": [\"%s\"], \"rank\": "
       "\"routine\", \"deadline_ms\": 800, \"reads\": \"session\", "
-      "\"max_age_ms\": 400},"
-      "{\"name\": \"bounded\", \"depends_on\": [\"%s\"], \"rank\": \"bulk\", "
-      "\"deadline_ms\": 1200, \"reads\": \"bounded\", \"max_age_ms\": 400}]}",
+      "\"max_age_ms\": 400}%s%s%s]}",
       ++w->declarations, w->moves ? ", {\"name\": \"empty\"}" : "", group,
-      group, group);
+      group, away ? "" : ", {\"name\": \"bounded\", \"depends_on\": [\"",
+      away ? "" : group,
+      away ? ""
+           : "\"], \"rank\": \"bulk\", \"deadline_ms\": 1200, \"reads\": "
+             "\"bounded\", \"max_age_ms\": 400}");
   g_autoptr (GBytes) text = g_bytes_new (declaration, strlen (declaration));
   WmMessage config = { .type = WM_TYPE_CMD_CONFIG,
                        .cmd_config = { .number = w->declarations,
@@ -507,6 +509,7 @@
                                        .text = text,
                                        .who = (char *)"test" } };
   w->moved = away;
+  w->all_declared = away ? 0 : w->now;
   sw_commit (w, &config);
 }
 
--- a/tests/fuzz/session_pools.c
+++ b/tests/fuzz/session_pools.c
@@ -220,10 +220,15 @@
       = pool != NULL && pool->core != NULL
         && (m->transaction != 0 ? m->holder == host->incarnation
                                 : m->incarnation == pool->incarnation);
-  if (known)
+  CfService undeclared;
+  const CfService *service = pl_service_of (m, host->state, &undeclared);
+  if (known && service == NULL && m->transaction != 0)
+    {
+      pl_abort_transaction (pool->core, w->now, m->transaction);
+      sw_pump_pool (w, pool);
+    }
+  if (known && service != NULL)
     {
-      const CfService *service
-          = cf_service_find (cs_declaration (host->state), m->service);
       PlRequest *r = pl_request_from_message (m, service, w->now);
       r->owner = GUINT_TO_POINTER ((guint)(parcel->from - w->hosts));
       pl_submit (pool->core, w->now, r);
@@ -234,13 +239,14 @@
       InFlightMessage *back = g_new0 (InFlightMessage, 1);
       back->from = host;
       back->to = parcel->from;
-      back->message = (WmMessage){
-        .type = WM_TYPE_STATEMENT_DONE,
-        .statement_done
-        = { .sequence = m->sequence,
-            .kind = m->transaction != 0 ? GM_TRANSACTION_LOST : GM_DRAINING,
-            .message = g_strdup ("") }
-      };
+      back->message
+          = (WmMessage){ .type = WM_TYPE_STATEMENT_DONE,
+                         .statement_done = { .sequence = m->sequence,
+                                             .kind = known ? GM_UNKNOWN_SERVICE
+                                                     : m->transaction != 0
+                                                         ? GM_TRANSACTION_LOST
+                                                         : GM_DRAINING,
+                                             .message = g_strdup ("") } };
       sw_at (w, w->now + sw_delay (w, 2 * GM_MS), sw_deliver_answer, back);
     }
   wm_clear (&parcel->message);
--- a/tests/fuzz/sessions.h
+++ b/tests/fuzz/sessions.h
@@ -118,6 +118,7 @@
   gboolean customers;       /* the declaration names customers */
   gboolean moves;           /* routes go to an empty group and back */
   gboolean moved;           /* to the empty group */
+  GmTime all_declared;      /* since when all services are; 0: they are not */
   gboolean own_connections; /* a connection serves one customer */
   GArray *holdings[KEYS];   /* Holding, by time */
   guint64 declarations;     /* number of the last one */
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -652,6 +652,75 @@
     }
 }
 
+/* What a host whose configuration has the number 5 makes of a statement that
+   was routed by CONFIG.  */
+static const struct
+{
+  const char *service;
+  guint64 config;
+  guint64 rank;
+  gboolean known;
+  CfRank expected;
+} service_cases[] = {
+  { "old", 4, CF_BULK, TRUE, CF_URGENT },
+  { "old", 6, CF_BULK, TRUE, CF_URGENT },
+  { "gone", 4, CF_URGENT, FALSE, CF_URGENT },
+  { "gone", 5, CF_URGENT, FALSE, CF_URGENT },
+  { "new", 6, CF_URGENT, TRUE, CF_URGENT },
+  { "new", 6, CF_BULK, TRUE, CF_BULK },
+  { "new", 6, CF_RANK_COUNT + 7, TRUE, CF_BULK },
+  { "new", 0, CF_URGENT, FALSE, CF_URGENT },
+};
+
+/* Guards against a new route that is refused as unknown by the holder of a
+   queue whose configuration is older than that of the sender.  */
+static void
+test_service_of_newer_configuration (void)
+{
+  static const char declaration[]
+      = "{\"number\": 5, \"numbering\": \"highest\", \"groups\": [{\"name\": "
+        "\"g\"}], \"services\": [{\"name\": \"old\", \"depends_on\": [\"g\"], "
+        "\"rank\": \"urgent\", \"deadline_ms\": 800}]}";
+  g_autoptr (CsState) state = cs_new ();
+  g_autoptr (GBytes) text = g_bytes_new (declaration, strlen (declaration));
+  WmMessage config = { .type = WM_TYPE_CMD_CONFIG,
+                       .cmd_config = { .number = 5,
+                                       .digest = (char *)"d",
+                                       .text = text,
+                                       .who = (char *)"test",
+                                       .highest = WM_CONFIG_HIGHEST } };
+  g_assert_cmpint (cs_apply (state, 1, &config, NULL), ==, GM_OK);
+  for (gsize i = 0; i < G_N_ELEMENTS (service_cases); i++)
+    {
+      struct wm_statement m = { .service = (char *)service_cases[i].service,
+                                .id = (char *)"q1",
+                                .config = service_cases[i].config,
+                                .rank = service_cases[i].rank,
+                                .worth = 3,
+                                .target_ms = 100,
+                                .limit_ms = 700,
+                                .deadline = 650 * GM_MS };
+      CfService undeclared;
+      const CfService *service = pl_service_of (&m, state, &undeclared);
+      g_test_message ("%s by %u", m.service, (guint)m.config);
+      g_assert_cmpint (service != NULL, ==, service_cases[i].known);
+      if (service == NULL)
+        continue;
+      g_assert_cmpint (service->rank, ==, service_cases[i].expected);
+      PlRequest *r = pl_request_from_message (&m, service, 0);
+      g_assert_cmpstr (r->base.service, ==, m.service);
+      /* 600 ms before the deadline, by what the sender knows.  */
+      g_assert_cmpint (r->base.due, ==,
+                       strcmp (m.service, "new") == 0 ? 50 * GM_MS : 0);
+      pl_request_free (r);
+    }
+  /* A host without any configuration yet.  */
+  g_autoptr (CsState) empty = cs_new ();
+  struct wm_statement m = { .service = (char *)"new", .config = 1 };
+  CfService undeclared;
+  g_assert_nonnull (pl_service_of (&m, empty, &undeclared));
+}
+
 /* Large statements from many hosts must not add up beyond the memory of the
    one that holds the queue; small ones and transactions must go on.  */
 static void
@@ -688,6 +757,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/pool/session-state", test_session_state);
   g_test_add_func ("/pool/room", test_room);
+  g_test_add_func ("/pool/newer-configuration",
+                   test_service_of_newer_configuration);
   g_test_add_func ("/pool/losses", test_lost_connection);
   g_test_add_func ("/pool/transaction", test_transaction_keeps_connection);
   g_test_add_func ("/pool/idle-transaction", test_idle_transaction_ends);
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -341,6 +341,37 @@
     }
 }
 
+/* A refusal as unknown by a holder whose configuration differs is final only
+   if this host's is the one by which the statement was sent.  */
+static void
+test_newer_configuration (void)
+{
+  for (guint i = 0; i < 2; i++)
+    {
+      Bench b = bench_new ("session");
+      take (&b, SN_WRITE, NULL, NULL);
+      const struct wm_statement *sent = &b.step.statement.statement;
+      g_assert_cmpuint (sent->config, ==, 1);
+      g_assert_cmpuint (sent->rank, ==, CF_ROUTINE);
+      g_assert_cmpuint (sent->limit_ms, ==, 800);
+      if (i == 1)
+        {
+          g_autofree char *next = g_strdup (declaration);
+          *strchr (next, '1') = '2';
+          three_declare (b.state, 2, next);
+        }
+      result (&b, GM_UNKNOWN_SERVICE, FALSE, 0);
+      g_assert_cmpint (b.step.next, ==, i == 0 ? SN_ANSWER : SN_WAIT);
+      if (b.step.next == SN_WAIT)
+        {
+          wait_and_retry (&b);
+          g_assert_cmpint (b.step.next, ==, SN_SEND);
+          g_assert_cmpuint (b.step.statement.statement.config, ==, 2);
+        }
+      bench_free (&b);
+    }
+}
+
 /* The database and host that a statement is sent to while hosts that hold
    queues are silent; "" if the statement waits.  */
 static const struct
@@ -654,6 +685,7 @@
   g_test_add_func ("/session/short-lag", test_short_lag);
   g_test_add_func ("/session/losses", test_losses);
   g_test_add_func ("/session/unknown-kind", test_unknown_kind);
+  g_test_add_func ("/session/newer-configuration", test_newer_configuration);
   g_test_add_func ("/session/script", test_script);
   g_test_add_func ("/session/failed-transaction", test_failed_transaction);
   g_test_add_func ("/session/no-primary", test_no_primary);
