A dispatcher that is behind does not refuse a service as unknown

An HTTP request for a new service is answered 404 while the group's dispatcher has not heard of it, though the entry host has. Cause: gp_check takes a service that its configuration lacks for gone. Change: a request carries the number of the configuration that routed it; a dispatcher with an older one answers stale, and the request is sent again. Result: /state/check failed before ("(3 == 13)") and passes; process tests and fuzzers pass.

--- a/lib/dispatch/group.c
+++ b/lib/dispatch/group.c
@@ -118,8 +118,13 @@
   if (exec->transaction == 0 && !fresh)
     return gm_fail (status, GM_STALE,
                     "not run: the dispatcher is cut off from control");
-  if (cs_declaration (state) == NULL
-      || cf_service_find (cs_declaration (state), exec->service) == NULL)
+  gboolean known
+      = cs_declaration (state) != NULL
+        && cf_service_find (cs_declaration (state), exec->service) != NULL;
+  if (!known && exec->config > state->number)
+    return gm_fail (status, GM_STALE,
+                    "not run: the dispatcher does not know the service yet");
+  if (!known)
     return gm_fail (status, GM_UNKNOWN_SERVICE, "not run: no such service");
   return gm_ok (status);
 }
--- a/lib/route/route.c
+++ b/lib/route/route.c
@@ -268,6 +268,7 @@
   request->exec.exec.sequence = request->sequence;
   request->exec.exec.generation = request->generation;
   request->exec.exec.deadline = (guint64)MAX (request->deadline - now, 0);
+  request->exec.exec.config = state->number;
   request->sent_to = g_strdup (host->host);
   push_action (core, RQ_SEND, host->host)->request = request;
 }
--- a/lib/wire/message.h
+++ b/lib/wire/message.h
@@ -89,11 +89,12 @@
 /* Requests from an entry host to a dispatcher.  operation is a DpOperation.
    incarnation is that of the dispatcher that holds the transaction.
    deadline is the remaining time in microseconds.  session tells whether the
-   position in the token can be trusted.  */
+   position in the token can be trusted.  config is the number of the
+   configuration by which the sender routed it.  */
 #define WM_EXEC(U, S, B) \
   U (sequence) U (generation) U (operation) S (service) S (group) \
   S (request_id) S (statement) B (params) U (transaction) U (incarnation) \
-  U (deadline) U (session) U (token_term) U (token_position)
+  U (deadline) U (session) U (token_term) U (token_position) U (config)
 #define WM_RESULT(U, S, B) \
   U (sequence) U (generation) U (kind) S (message) U (retry_ms) \
   U (transaction) U (token_term) U (token_position) S (database) \
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -165,14 +165,18 @@
   guint64 incarnation;
   gboolean is_fresh;
   gboolean owns_group;
+  guint64 config; /* of the sender; the dispatcher has number 1 */
   GmKind expected;
 } request_checks[] = {
-  { "good", "s", 0, 0, TRUE, TRUE, GM_OK },
-  { "no-service", "t", 0, 0, TRUE, TRUE, GM_UNKNOWN_SERVICE },
-  { "not-owner", "s", 0, 0, TRUE, FALSE, GM_DRAINING },
-  { "stale", "s", 0, 0, FALSE, TRUE, GM_STALE },
-  { "stale-in-transaction", "s", 5, 7, FALSE, TRUE, GM_OK },
-  { "earlier-process", "s", 5, 6, TRUE, TRUE, GM_TRANSACTION_LOST },
+  { "good", "s", 0, 0, TRUE, TRUE, 1, GM_OK },
+  { "no-service", "t", 0, 0, TRUE, TRUE, 1, GM_UNKNOWN_SERVICE },
+  { "no-service-any-more", "t", 0, 0, TRUE, TRUE, 0, GM_UNKNOWN_SERVICE },
+  /* A dispatcher that is behind does not know whether there is one.  */
+  { "no-service-yet", "t", 0, 0, TRUE, TRUE, 2, GM_STALE },
+  { "not-owner", "s", 0, 0, TRUE, FALSE, 1, GM_DRAINING },
+  { "stale", "s", 0, 0, FALSE, TRUE, 1, GM_STALE },
+  { "stale-in-transaction", "s", 5, 7, FALSE, TRUE, 1, GM_OK },
+  { "earlier-process", "s", 5, 6, TRUE, TRUE, 1, GM_TRANSACTION_LOST },
 };
 
 static void
@@ -188,7 +192,8 @@
       struct wm_exec exec = { .operation = DP_WRITE,
                               .service = (char *)request_checks[i].service,
                               .transaction = request_checks[i].transaction,
-                              .incarnation = request_checks[i].incarnation };
+                              .incarnation = request_checks[i].incarnation,
+                              .config = request_checks[i].config };
       g_assert_cmpint (gp_check (request_checks[i].owns_group ? group : NULL,
                                  state, request_checks[i].is_fresh, 7, &exec,
                                  NULL),
