Session values and prepared statements count toward their host's memory limit

Ruled out: refusing the statement that does not fit; a few large sessions would have all others refused.

--- a/lib/session/core.h
+++ b/lib/session/core.h
@@ -14,6 +14,7 @@
 {
   gboolean writes;
   char *shape;
+  gsize bytes; /* with its name */
 } SnPrepared;
 
 /* The statement in progress.  */
@@ -50,6 +51,7 @@
   GTree *values; /* name -> value */
   gsize values_bytes;
   GHashTable *prepared; /* name -> SnPrepared */
+  gsize prepared_bytes;
   SnState state;
   gboolean transaction_read_only;
   gboolean transaction_wrote;
--- a/lib/session/local.c
+++ b/lib/session/local.c
@@ -19,6 +19,18 @@
   sn_answer (s, step, GM_OK, "");
 }
 
+/* Forgets the prepared statement NAME; FALSE if there is none.  */
+static gboolean
+forget_prepared (SnSession *s, const char *name)
+{
+  const SnPrepared *prepared = g_hash_table_lookup (s->prepared, name);
+  if (prepared == NULL)
+    return FALSE;
+  s->prepared_bytes -= prepared->bytes;
+  g_hash_table_remove (s->prepared, name);
+  return TRUE;
+}
+
 static void
 prepare (SnSession *s, SnStatement *st, SnStep *step)
 {
@@ -31,7 +43,11 @@
   SnPrepared *prepared = g_new0 (SnPrepared, 1);
   prepared->writes = st->writes;
   prepared->shape = g_steal_pointer (&st->argument);
-  g_hash_table_replace (s->prepared, g_steal_pointer (&st->name), prepared);
+  prepared->bytes
+      = sizeof *prepared + strlen (st->name) + strlen (prepared->shape);
+  forget_prepared (s, st->name);
+  s->prepared_bytes += prepared->bytes;
+  g_hash_table_insert (s->prepared, g_steal_pointer (&st->name), prepared);
   sn_answer (s, step, GM_OK, "");
 }
 
@@ -81,7 +97,7 @@
       prepare (s, st, step);
       return TRUE;
     case SN_DEALLOCATE:
-      if (g_hash_table_remove (s->prepared, st->name))
+      if (forget_prepared (s, st->name))
         sn_answer (s, step, GM_OK, "");
       else
         sn_answer (s, step, GM_INVALID,
--- a/lib/session/session.c
+++ b/lib/session/session.c
@@ -115,6 +115,12 @@
   return s->has_key ? &s->key : NULL;
 }
 
+gsize
+sn_held_bytes (const SnSession *s)
+{
+  return s->values_bytes + s->prepared_bytes;
+}
+
 SnState
 sn_state (const SnSession *s)
 {
--- a/lib/session/session.h
+++ b/lib/session/session.h
@@ -129,6 +129,8 @@
 const char *sn_service (const SnSession *session);
 /* The log position after the last statement; number 0: not known.  */
 TkPoint sn_position (const SnSession *session);
+/* The bytes of the values and prepared statements that SESSION keeps.  */
+gsize sn_held_bytes (const SnSession *session);
 /* Runs STATEMENT and empties it.  No other statement may be in progress.  */
 void sn_submit (SnSession *session, const SnContext *world,
                 SnStatement *statement, SnStep *step);
--- a/tests/crowd/crowd.sh
+++ b/tests/crowd/crowd.sh
@@ -78,6 +78,13 @@
 QUERY='START orders me\r\nQUERY q1 WRITE k '
 post () { printf 'POST %s HTTP/1.1\\r\\nHost: x\\r\\nContent-Length: %s\\r\\n\\r\\n' "$1" "$2"; }
 
+prepares () { # prepares FIRST LAST: the statements of these numbers
+  local n
+  for n in $(seq "$1" "$2"); do
+    printf 'QUERY p%s PREPARE s%s READ %s\\r\\n' "$n" "$n" "$X1000$X1000$X1000$X1000$X1000"
+  done
+}
+
 # more NAME CONNECTIONS ARGUMENTS: starts one more crowd, and waits until it has
 # sent everything.
 more () {
@@ -129,6 +136,8 @@
       CROWD=(--connections 300 --head 'START orders me\r\nQUERY q1 WRI') ;;
     line_idle)
       CROWD=(--connections 300 --head 'START orders me\r\n') ;;
+    line_prepared) # 40 statements of 5 KB in each session, never given up
+      CROWD=(--connections 60 --head "START orders me\\r\\n$(prepares 1 20)" --tail "$(prepares 21 40)") ;;
     line_in_transaction)
       CROWD=(--connections 60 --head 'START orders me\r\nQUERY q1 BEGIN\r\nQUERY q2 WRITE held 1\r\n') ;;
     large) # by hand: 5,000 idle, 500 slow and 50 flooding connections
