Shapes and session values count in the queue of a holder

Callers saw: nothing reported. Executions of large prepared statements, and statements of sessions with many values, fill the memory of a queue's holder beyond the bound on large statements. Cause: only text and arguments were counted. Change: shape and values count as well. Result: /pool/room failed before ("(1 == 0)" for a shape) and passes.

--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -113,7 +113,8 @@
   TkPoint point;
   char *signature;
   GBytes *rows;
-  gsize statement_bytes; /* of text and arguments, as they came by a link */
+  gsize
+      statement_bytes; /* of all that is its session's, as it came by a link */
 } PlRequest;
 
 typedef enum
--- a/lib/pool/request.c
+++ b/lib/pool/request.c
@@ -13,7 +13,9 @@
 statement_bytes (const struct wm_statement *m)
 {
   return (m->text != NULL ? strlen (m->text) : 0)
-         + (m->arguments != NULL ? strlen (m->arguments) : 0);
+         + (m->prepared != NULL ? strlen (m->prepared) : 0)
+         + (m->arguments != NULL ? strlen (m->arguments) : 0)
+         + (m->values != NULL ? g_bytes_get_size (m->values) : 0);
 }
 
 gboolean
--- a/tests/test_pool_memory.c
+++ b/tests/test_pool_memory.c
@@ -44,7 +44,8 @@
 }
 
 /* Large statements from many hosts must not add up beyond the memory of the
-   one that holds the queue; small ones and transactions must go on.  */
+   one that holds the queue; small ones and transactions must go on.  Guards
+   against shapes and values that count as nothing.  */
 static void
 test_room (void)
 {
@@ -52,12 +53,18 @@
   const struct
   {
     char *text;
+    char *prepared;
+    char *value;
     guint64 transaction;
     gboolean has_room;
   } cases[] = {
-    { large, 0, FALSE },
-    { large, 7, TRUE },
-    { (char *)"WRITE a 1", 0, TRUE },
+    { large, NULL, NULL, 0, FALSE },
+    { large, NULL, NULL, 7, TRUE },
+    { NULL, large, NULL, 0, FALSE },
+    { NULL, large, NULL, 7, TRUE },
+    { NULL, (char *)"READ q", NULL, 0, TRUE },
+    { (char *)"WRITE a 1", NULL, large, 0, FALSE },
+    { (char *)"WRITE a 1", NULL, NULL, 0, TRUE },
   };
   CfService service = { .name = (char *)"orders" };
   struct wm_statement first = { .text = large, .id = (char *)"q1" };
@@ -66,8 +73,14 @@
   for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       struct wm_statement m
-          = { .text = cases[i].text, .transaction = cases[i].transaction };
+          = { .text = cases[i].text,
+              .prepared = cases[i].prepared,
+              .values = cases[i].value != NULL ? g_bytes_new (
+                            cases[i].value, strlen (cases[i].value))
+                                               : NULL,
+              .transaction = cases[i].transaction };
       g_assert_cmpint (pl_has_room (&m, 15000), ==, cases[i].has_room);
+      g_clear_pointer (&m.values, g_bytes_unref);
     }
   pl_request_free (held);
   g_assert_true (pl_has_room (&first, 15000));
