A session value that is replaced counts with its new size

Callers saw: nothing reported. Values that are replaced by longer ones grow to 1 MB a session, where 16 KiB are allowed, and travel with each statement. Cause: the sum of a session's values took in new ones only. Change: it follows replacements. Result: /session-memory/replaced failed before ("(0 == 39)") and passes.

--- a/lib/session/local.c
+++ b/lib/session/local.c
@@ -4,16 +4,17 @@
 static void
 set_value (SnSession *s, SnStatement *st, SnStep *step)
 {
-  gsize bytes = strlen (st->name) + strlen (st->argument);
-  gboolean known = g_tree_lookup (s->values, st->name) != NULL;
-  if ((!known && g_tree_nnodes (s->values) >= SN_VALUES_MAX)
-      || s->values_bytes + bytes > SN_VALUES_BYTES_MAX)
+  const char *former = g_tree_lookup (s->values, st->name);
+  gsize freed = former != NULL ? strlen (st->name) + strlen (former) : 0;
+  gsize bytes
+      = s->values_bytes - freed + strlen (st->name) + strlen (st->argument);
+  if ((former == NULL && g_tree_nnodes (s->values) >= SN_VALUES_MAX)
+      || bytes > SN_VALUES_BYTES_MAX)
     {
       sn_answer (s, step, GM_TOO_LARGE, "the session holds too many values");
       return;
     }
-  if (!known)
-    s->values_bytes += bytes;
+  s->values_bytes = bytes;
   g_tree_replace (s->values, g_steal_pointer (&st->name),
                   g_steal_pointer (&st->argument));
   sn_answer (s, step, GM_OK, "");
--- a/tests/test_session_memory.c
+++ b/tests/test_session_memory.c
@@ -30,6 +30,8 @@
   { SN_DEALLOCATE, "p", 0, GM_OK, 101, 300 },
 };
 
+#define VALUES 40
+
 static GmKind
 take (SnSession *session, const SnContext *world, SnVerb verb,
       const char *name, gsize length)
@@ -73,10 +75,42 @@
   lv_free (hosts);
 }
 
+/* Guards against a value that counts with the size that it had when it was set
+   first: replaced by longer ones, values grew beyond their limit.  */
+static void
+test_replaced_values (void)
+{
+  g_autoptr (CsState) state = three_databases (declaration);
+  LvCore *hosts = lv_new ();
+  SrRouter *router = sr_new ("entry", "dc1", hosts);
+  SnContext world = { GM_SECOND, state, router };
+  SnSession *session = sn_new ("s");
+  guint refused = 0;
+  for (guint length = 1; length <= 16000; length += 15999)
+    for (guint i = 0; i < VALUES; i++)
+      {
+        g_autofree char *name = g_strdup_printf ("v%u", i);
+        GmKind kind = take (session, &world, SN_SET, name, length);
+        refused += kind == GM_TOO_LARGE ? 1 : 0;
+        g_assert_cmpuint (sn_held_bytes (session), <=, SN_VALUES_BYTES_MAX);
+      }
+  /* Only one of the long ones fits.  */
+  g_assert_cmpuint (refused, ==, VALUES - 1);
+  g_assert_cmpuint (sn_held_bytes (session), >, 16000);
+  /* A shorter one makes room.  */
+  g_assert_cmpint (take (session, &world, SN_SET, "v0", 1), ==, GM_OK);
+  g_assert_cmpuint (sn_held_bytes (session), <, 1000);
+  g_assert_cmpint (take (session, &world, SN_SET, "v1", 16000), ==, GM_OK);
+  sn_free (session);
+  sr_free (router);
+  lv_free (hosts);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/session-memory/held", test_held_bytes);
+  g_test_add_func ("/session-memory/replaced", test_replaced_values);
   return g_test_run ();
 }
