--- a/lib/pool/pool.h
+++ b/lib/pool/pool.h
@@ -113,8 +113,7 @@
   TkPoint point;
   char *signature;
   GBytes *rows;
-  gsize
-      statement_bytes; /* of all that is its session's, as it came by a link */
+  gsize statement_bytes; /* of its session, as they came by a link */
 } PlRequest;
 
 typedef enum
