--- a/tests/fuzz/session_callers.c
+++ b/tests/fuzz/session_callers.c
@@ -90,9 +90,7 @@
   const MdStatement *s = c->statement;
   gboolean none = gm_kind_ran (step->kind) == GM_RAN_NO;
   w->answers[step->kind]++;
-  /* A transaction may have been opened under a configuration that had the
-     service, and the next one not.  */
-  if (step->kind == GM_UNKNOWN_SERVICE && !c->in_transaction
+  if (step->kind == GM_UNKNOWN_SERVICE
       && cf_service_find (cs_declaration (c->host->state),
                           sn_service (c->session))
              != NULL
